--- a/packages/core/src/drain/drain.ts
+++ b/packages/core/src/drain/drain.ts
@@ -29,7 +29,6 @@
     if (stage === 'running') {
       stage = 'notice';
       noticeEndsMs = ctx.nowMs + parts.noticeMs;
-      ctx.emit({kind: 'set_ready', ready: false, reason: 'draining'});
       ctx.emit({kind: 'write_log', event: 'WL9002', fields: {inFlight}});
       return;
     }
--- /dev/null
+++ b/packages/core/src/router/create_request_state.ts
@@ -0,0 +1,42 @@
+import {createAttemptHistory} from '../requests/attempt_history.js';
+import type {RequestState} from '../requests/request_state.js';
+import type {ClassRow} from '../types/class_row.js';
+import type {CustomerRow} from '../types/customer_row.js';
+import type {RequestArrived} from './events/request_arrived.js';
+import type {RouterContext} from './router_context.js';
+
+/** State of a request at its admission. */
+export function createRequestState(
+  ctx: RouterContext,
+  event: RequestArrived,
+  customer: CustomerRow,
+  cls: ClassRow,
+): RequestState {
+  return {
+    entry: {
+      reqId: event.reqId,
+      customer: customer.name,
+      className: cls.name,
+      service: cls.service,
+      promptTokens: event.promptTokens,
+      maxOutputTokens: event.maxOutputTokens,
+      weight: cls.weight * customer.weight,
+      priority: cls.priority,
+      arrivedMs: ctx.nowMs,
+      deadlineMs: ctx.nowMs + cls.timeoutMs,
+    },
+    idempotent: cls.idempotent,
+    objective: cls.objective,
+    prefixHashes: event.prefixHashes,
+    idempotencyKey: event.idempotencyKey,
+    phase: cls.idempotent ? 'queued' : 'claiming',
+    attempt: 0,
+    endpoint: '',
+    nextSequence: 0,
+    progressMs: ctx.nowMs,
+    retryAtMs: 0,
+    firstTokenMs: undefined,
+    failedEndpoints: new Set(),
+    history: createAttemptHistory(),
+  };
+}
--- /dev/null
+++ b/packages/core/src/shared/rendezvous.ts
@@ -0,0 +1,17 @@
+import {hash32} from './hash32.js';
+
+/** Nodes in order of their rendezvous weight for a key, highest first. */
+export function rendezvousOrder(key: string, nodes: string[]): string[] {
+  return nodes
+    .map(node => ({node, weight: hash32(`${key}|${node}`)}))
+    .sort((a, b) => b.weight - a.weight || (a.node < b.node ? -1 : 1))
+    .map(({node}) => node);
+}
+
+/** Node with the highest rendezvous weight; undefined if there is none. */
+export function rendezvousFirst(
+  key: string,
+  nodes: string[],
+): string | undefined {
+  return rendezvousOrder(key, nodes)[0];
+}
