--- /dev/null
+++ b/packages/router/src/caller/caller_routes.ts
@@ -0,0 +1,157 @@
+import {randomUUID} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {RequestArrived} from '@wisterialadder/core/router/events/request_arrived.js';
+import type {RouterEvent} from '@wisterialadder/core/router/events/router_event.js';
+import type {HttpRoute} from '@wisterialadder/runtime/http/http_route.js';
+import {readBody} from '@wisterialadder/runtime/http/read_body.js';
+import {sendJson} from '@wisterialadder/runtime/http/send_json.js';
+import {prefixHashes} from '@wisterialadder/runtime/prompt/prefix_hashes.js';
+import {promptTokens} from '@wisterialadder/runtime/prompt/prompt_tokens.js';
+import {CHAT_BODY, promptText} from './chat_body.js';
+import {bearerKeyHash} from './caller_identity.js';
+import type {CallerReply} from './caller_reply.js';
+import {JsonReply} from './json_reply.js';
+import type {OpenRequests} from './open_requests.js';
+import {ServiceReply} from './service_reply.js';
+import {StreamReply} from './stream_reply.js';
+
+/** What the caller front end needs. */
+export interface CallerRoutesParts {
+  open: OpenRequests;
+  maxBodyBytes: number;
+  /** False if the loop cannot take more. */
+  push(event: RouterEvent): boolean;
+}
+
+/** An HTTP request that was read and may be admitted. */
+interface ReadRequest {
+  keyHash: string;
+  body: Buffer;
+}
+
+/** Routes for callers: chat completions and plain services. */
+export function callerRoutes(parts: CallerRoutesParts): HttpRoute[] {
+  async function chat(req: IncomingMessage, res: ServerResponse) {
+    const read = await readRequest(req, res, parts.maxBodyBytes);
+    if (!read) return;
+    const parsed = CHAT_BODY.safeParse(parseJson(read.body));
+    if (!parsed.success) {
+      const where = parsed.error.issues[0]?.path.join('.') ?? '';
+      return refuse(res, 400, 'bad_request', `Malformed body at "${where}".`);
+    }
+    const prompt = promptText(parsed.data);
+    const reqId = randomUUID();
+    const reply = parsed.data.stream
+      ? new StreamReply(reqId, res)
+      : new JsonReply(reqId, res);
+    admit(req, res, read, reply, '', {
+      kind: 'request_arrived',
+      reqId,
+      keyHash: read.keyHash,
+      className: header(req, 'wl-class'),
+      service: parsed.data.model ?? '',
+      promptTokens: promptTokens(prompt),
+      maxOutputTokens: parsed.data.max_tokens,
+      prefixHashes: prefixHashes(prompt),
+      idempotencyKey: header(req, 'idempotency-key'),
+    });
+  }
+
+  async function service(
+    req: IncomingMessage,
+    res: ServerResponse,
+    match: Record<string, string>,
+  ) {
+    const read = await readRequest(req, res, parts.maxBodyBytes);
+    if (!read) return;
+    const reqId = randomUUID();
+    const reply = new ServiceReply(reqId, res);
+    admit(req, res, read, reply, match['action'] ?? '', {
+      kind: 'request_arrived',
+      reqId,
+      keyHash: read.keyHash,
+      className: header(req, 'wl-class'),
+      service: match['service'] ?? '',
+      promptTokens: 0,
+      maxOutputTokens: 0,
+      prefixHashes: [],
+      idempotencyKey: header(req, 'idempotency-key'),
+    });
+  }
+
+  function admit(
+    req: IncomingMessage,
+    res: ServerResponse,
+    read: ReadRequest,
+    reply: CallerReply,
+    action: string,
+    event: RequestArrived,
+  ): void {
+    const {reqId, idempotencyKey} = event;
+    const {body} = read;
+    parts.open.set(reqId, {reply, body, action, idempotencyKey});
+    res.on('close', () => {
+      if (parts.open.delete(reqId)) {
+        parts.push({kind: 'request_cancelled', reqId});
+      }
+    });
+    if (!parts.push(event)) {
+      parts.open.delete(reqId);
+      refuse(res, 503, 'overloaded', 'Too many events are waiting.');
+    }
+  }
+
+  return [
+    {method: 'POST', path: /^\/v1\/chat\/completions$/, handler: chat},
+    {
+      method: 'POST',
+      path: /^\/services\/(?<service>[\w.-]+)\/(?<action>[\w.-]+)$/,
+      handler: service,
+    },
+  ];
+}
+
+async function readRequest(
+  req: IncomingMessage,
+  res: ServerResponse,
+  maxBodyBytes: number,
+): Promise<ReadRequest | undefined> {
+  const keyHash = bearerKeyHash(req);
+  if (keyHash === undefined) {
+    refuse(res, 401, 'not_authorized', 'A bearer key is required.');
+    return undefined;
+  }
+  const body = await readBody(req, maxBodyBytes);
+  if (body.ok) return {keyHash, body: body.val};
+  if (body.val === 'too_large') {
+    const message = `The body is larger than ${maxBodyBytes} bytes.`;
+    refuse(res, 413, 'prompt_too_long', message);
+  }
+  return undefined;
+}
+
+// These requests end before the core has seen them, so they were not run.
+function refuse(
+  res: ServerResponse,
+  status: number,
+  code: string,
+  message: string,
+): void {
+  const outcome = 'rejected_not_run';
+  const body = {outcome, error: {code, message}};
+  // The rest of a refused body is not read, so the connection cannot go on.
+  sendJson(res, status, body, {'wl-outcome': outcome, connection: 'close'});
+}
+
+function parseJson(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString('utf8'));
+  } catch {
+    return undefined;
+  }
+}
+
+function header(req: IncomingMessage, name: string): string {
+  const value = req.headers[name];
+  return typeof value === 'string' ? value : '';
+}
--- /dev/null
+++ b/packages/router/src/caller/chat_chunk.ts
@@ -0,0 +1,4 @@
+/** The part of a chat-completion chunk that is read. */
+export interface ChatChunk {
+  choices?: {delta?: {content?: string}}[];
+}
--- /dev/null
+++ b/packages/router/src/endpoint/attempt_runner.ts
@@ -0,0 +1,109 @@
+import {performance} from 'node:perf_hooks';
+import {Agent, request} from 'undici';
+import type {CancelAttempt} from '@wisterialadder/core/router/actions/cancel_attempt.js';
+import type {StartAttempt} from '@wisterialadder/core/router/actions/start_attempt.js';
+import type {RouterEvent} from '@wisterialadder/core/router/events/router_event.js';
+import type {AttemptFailure} from '@wisterialadder/core/types/attempt_failure.js';
+import type {EndpointKind} from '@wisterialadder/core/types/endpoint_kind.js';
+import type {Disposable} from '@wisterialadder/runtime/lifecycle/disposable.js';
+import type {OpenRequests} from '../caller/open_requests.js';
+import type {AttemptSink} from './attempt_sink.js';
+import type {EndpointCodec} from './endpoint_codec.js';
+import {EngineCodec} from './engine_codec.js';
+import {ServiceCodec} from './service_codec.js';
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const NEVER_CONNECTED = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** Carries out attempts against endpoints. */
+export interface AttemptRunner extends Disposable {
+  start(action: StartAttempt): void;
+  cancel(action: CancelAttempt): void;
+}
+
+/** What the runner needs. */
+export interface AttemptRunnerParts {
+  open: OpenRequests;
+  /** Owner of sessions on engines, `ADDRESS#INCARNATION`. */
+  owner: string;
+  push(event: RouterEvent): void;
+}
+
+/** Creates a runner with a connection pool of its own. */
+export function createAttemptRunner(parts: AttemptRunnerParts): AttemptRunner {
+  // The core judges every timeout, so the client has none but for connecting.
+  const agent = new Agent({
+    connect: {timeout: CONNECT_TIMEOUT_MS},
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+  const codecs: Record<EndpointKind, EndpointCodec> = {
+    engine: new EngineCodec(parts.owner),
+    service: new ServiceCodec(parts.owner),
+  };
+  const running = new Map<string, AbortController>();
+
+  function start(action: StartAttempt): void {
+    const sink = sinkFor(action);
+    const open = parts.open.get(action.reqId);
+    if (!open || performance.now() >= action.notAfterMs) {
+      // Nothing was sent.
+      sink.failed('connect_failed', false);
+      return;
+    }
+    const abort = new AbortController();
+    const key = attemptKey(action);
+    running.set(key, abort);
+    const codec = codecs[action.endpointKind];
+    request(action.url + codec.path(action, open), {
+      method: 'POST',
+      headers: codec.headers(action, open),
+      body: open.body,
+      dispatcher: agent,
+      signal: abort.signal,
+    })
+      .then(res => codec.read(res, sink))
+      .catch((err: unknown) => {
+        if (!abort.signal.aborted) sink.failed(failureOf(err), false);
+      })
+      .finally(() => running.delete(key));
+  }
+
+  function sinkFor({reqId, attempt}: StartAttempt): AttemptSink {
+    return {
+      delta: (sequence, payload) =>
+        parts.push({kind: 'attempt_delta', reqId, attempt, sequence, payload}),
+      ended: sequence =>
+        parts.push({kind: 'attempt_ended', reqId, attempt, sequence}),
+      failed: (failure, leaving) =>
+        parts.push({kind: 'attempt_failed', reqId, attempt, failure, leaving}),
+    };
+  }
+
+  function cancel(action: CancelAttempt): void {
+    running.get(attemptKey(action))?.abort();
+  }
+
+  return {
+    start,
+    cancel,
+    dispose: async () => {
+      for (const abort of running.values()) abort.abort();
+      await agent.close();
+    },
+  };
+}
+
+function attemptKey(action: {reqId: string; attempt: number}): string {
+  return `${action.reqId}/${action.attempt}`;
+}
+
+function failureOf(err: unknown): AttemptFailure {
+  const code = String((err as {code?: unknown}).code);
+  return NEVER_CONNECTED.has(code) ? 'connect_failed' : 'broken';
+}
--- /dev/null
+++ b/packages/router/src/endpoint/endpoint_response.ts
@@ -0,0 +1,4 @@
+import type {Dispatcher} from 'undici';
+
+/** Answer of an endpoint as `undici` gives it. */
+export type EndpointResponse = Dispatcher.ResponseData;
--- /dev/null
+++ b/packages/router/src/endpoint/sse_event.ts
@@ -0,0 +1,6 @@
+/** One server-sent event. */
+export interface SseEvent {
+  id: string;
+  event: string;
+  data: string;
+}
--- /dev/null
+++ b/packages/router/src/settings.ts
@@ -0,0 +1,74 @@
+import {
+  address,
+  choice,
+  integer,
+  list,
+  text,
+  url,
+} from '@wisterialadder/runtime/settings/setting_kinds.js';
+
+/** Settings of `wl-router`. */
+export const ROUTER_SETTINGS = {
+  vm: {
+    failure_domain: text({help: 'Failure domain that the VM is in.'}),
+  },
+  caller: {
+    listen: address({help: 'Address for callers.'}),
+    max_body_mb: integer(1, 256, {
+      help: 'Largest request body; a million tokens need about 5.',
+      unit: 'MB',
+      fallback: '16',
+    }),
+  },
+  ops: {
+    listen: address({help: 'Address for metrics and probes.'}),
+  },
+  peers: {
+    listen: address({help: 'Address for other routers.'}),
+    secret: text({help: 'Shared secret of all routers.'}),
+    seeds: list({
+      help: 'Peer addresses to contact first.',
+      fallback: '',
+    }),
+  },
+  platform: {
+    url: url({help: 'Address of the platform: log, VM list, weight store.'}),
+  },
+  routing: {
+    strategy: choice(['expected_cost', 'round_robin', 'least_outstanding'], {
+      help: 'How endpoints are chosen; the others are baselines.',
+      fallback: 'expected_cost',
+    }),
+    max_waiting: integer(1, 1_000_000, {
+      help: 'Requests that may wait at once; more are refused.',
+      unit: 'requests',
+      fallback: '10000',
+    }),
+    seed: integer(0, 4_294_967_295, {
+      help: 'Seed of random choices; 0 takes one from the clock.',
+      fallback: '0',
+    }),
+  },
+  timeouts: {
+    first_token: integer(100, 3_600_000, {
+      help: 'Silence of an endpoint before the first part of an answer.',
+      unit: 'ms',
+      fallback: '120000',
+    }),
+    idle: integer(100, 3_600_000, {
+      help: 'Silence of an endpoint between parts of an answer.',
+      unit: 'ms',
+      fallback: '10000',
+    }),
+    drain_notice: integer(0, 600_000, {
+      help: 'Time between "not ready" and refusing requests at shutdown.',
+      unit: 'ms',
+      fallback: '3000',
+    }),
+    load_report_interval: integer(50, 60_000, {
+      help: 'Time between reads of an endpoint load report.',
+      unit: 'ms',
+      fallback: '500',
+    }),
+  },
+};
--- a/packages/runtime/src/http/http_server.ts
+++ b/packages/runtime/src/http/http_server.ts
@@ -8,6 +8,9 @@
 import type {HttpRoute} from './http_route.js';
 import {sendJson} from './send_json.js';
 
+/** Time for open connections to finish when the server is disposed. */
+const CLOSE_TIMEOUT_MS = 2_000;
+
 /** A listening HTTP server. */
 export interface HttpServer extends Disposable {
   /** Address it listens on, `IP:PORT`. */
@@ -39,10 +42,18 @@
 
   return {
     address: `${host}:${bound.port}`,
+    // Answers that have ended may still be in socket buffers.
     dispose: () =>
       new Promise(resolve => {
-        server.close(() => resolve());
-        server.closeAllConnections();
+        const force = setTimeout(
+          () => server.closeAllConnections(),
+          CLOSE_TIMEOUT_MS,
+        );
+        server.close(() => {
+          clearTimeout(force);
+          resolve();
+        });
+        server.closeIdleConnections();
       }),
   };
 }
--- a/packages/runtime/src/program/run_program.ts
+++ b/packages/runtime/src/program/run_program.ts
@@ -85,5 +85,4 @@
       process.on('SIGINT', handler);
     },
   });
-  logger.write('WL9001', {version: VERSION});
 }
