Log the addresses of a started program in one place

Cause: each program logged its own start, so a launcher could not rely on one line. Change: start() answers the addresses and runProgram logs them; a program that cannot start says why and exits with 1.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,6 +1,23 @@
 import js from '@eslint/js';
 import tseslint from 'typescript-eslint';
 
+const SCRIPT_GLOBALS = Object.fromEntries(
+  [
+    'Buffer',
+    'TextDecoderStream',
+    'URL',
+    'AbortController',
+    'AbortSignal',
+    'clearTimeout',
+    'console',
+    'crypto',
+    'fetch',
+    'performance',
+    'process',
+    'setTimeout',
+  ].map(name => [name, 'readonly']),
+);
+
 export default tseslint.config(
   {ignores: ['**/dist/**', '**/gen/**', 'node_modules/**', 'run/**']},
   js.configs.recommended,
@@ -61,7 +78,7 @@
   },
   {
     files: ['scripts/**/*.mjs'],
-    languageOptions: {globals: {console: 'readonly', process: 'readonly'}},
+    languageOptions: {globals: SCRIPT_GLOBALS},
   },
   {
     // Ok and Err are constructors that ts-results exports as values.
--- a/packages/router/src/router_program.ts
+++ b/packages/router/src/router_program.ts
@@ -42,7 +42,9 @@
   start: startRouter,
 };
 
-async function startRouter(run: ProgramRun<RouterSettings>): Promise<void> {
+async function startRouter(
+  run: ProgramRun<RouterSettings>,
+): Promise<Record<string, string>> {
   const {cfg, logger, store} = run;
   const onError = logError(logger);
   const source = createEventSource<RouterEvent>();
@@ -145,10 +147,9 @@
     stop: never(),
   });
   loop.catch(onError);
-  logger.write('WL9001', {
+  return {
     caller: caller.address,
     ops: ops.address,
     peers: peers.address,
-    failureDomain: cfg.vm.failure_domain,
-  });
+  };
 }
--- a/packages/runtime/src/program/program.ts
+++ b/packages/runtime/src/program/program.ts
@@ -10,8 +10,8 @@
   name: string;
   help: string;
   settings: D;
-  /** Starts the program; `onSignal` is set for graceful termination. */
-  start(run: ProgramRun<D>): Promise<void>;
+  /** Starts the program; answers the addresses it listens on, by name. */
+  start(run: ProgramRun<D>): Promise<Record<string, string>>;
 }
 
 /** What a started program gets. */
--- a/packages/runtime/src/program/run_program.ts
+++ b/packages/runtime/src/program/run_program.ts
@@ -16,6 +16,7 @@
 import type {Program} from './program.js';
 import {VERSION} from './version.js';
 
+const EXIT_FAILURE = 1;
 const EXIT_USAGE = 2;
 
 /** Reads the command line and settings, then starts the program. */
@@ -75,14 +76,17 @@
     void store.dispose().finally(() => process.exit(code));
   };
   process.on('unhandledRejection', logError(logger));
-  await program.start({
-    cfg,
-    logger,
-    store,
-    exit,
-    onSignal: handler => {
-      process.on('SIGTERM', handler);
-      process.on('SIGINT', handler);
-    },
-  });
+  const onSignal = (handler: () => void): void => {
+    process.on('SIGTERM', handler);
+    process.on('SIGINT', handler);
+  };
+  try {
+    const run = {cfg, logger, store, exit, onSignal};
+    const addresses = await program.start(run);
+    logger.write('WL9001', {version: VERSION, ...addresses});
+  } catch (err) {
+    const problem = err instanceof Error ? err.message : String(err);
+    process.stderr.write(`${program.name}: cannot start: ${problem}\n`);
+    exit(EXIT_FAILURE);
+  }
 }
--- /dev/null
+++ b/scripts/fleet/process.mjs
@@ -0,0 +1,60 @@
+import {spawn} from 'node:child_process';
+import {createWriteStream, mkdirSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {createInterface} from 'node:readline';
+
+const START_TIMEOUT_MS = 15_000;
+const STARTED_EVENT = 'WL9001';
+
+/** Writes an object of sections as INI text. */
+export function toIni(sections) {
+  return Object.entries(sections)
+    .map(([name, keys]) => {
+      const lines = Object.entries(keys).map(([k, v]) => `${k} = ${v}`);
+      return [`[${name}]`, ...lines, ''].join('\n');
+    })
+    .join('\n');
+}
+
+/**
+ * Starts a program with settings and resolves once it logs that it has
+ * started. `started` holds the fields of that line, addresses among them.
+ */
+export async function startProcess({name, bin, settings, dir}) {
+  mkdirSync(dir, {recursive: true});
+  const file = join(dir, `${name}.ini`);
+  writeFileSync(file, toIni(settings));
+  const log = createWriteStream(join(dir, `${name}.log`));
+  const child = spawn(process.execPath, [bin, '--config', file], {
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  const exited = new Promise(resolve => {
+    child.once('exit', (code, signal) => resolve({code, signal}));
+  });
+  child.stderr.pipe(log, {end: false});
+  const started = await firstStart(name, child, exited, log);
+  return {
+    name,
+    pid: child.pid,
+    started,
+    exited,
+    kill: signal => child.kill(signal),
+    running: () => child.exitCode === null && child.signalCode === null,
+  };
+}
+
+function firstStart(name, child, exited, log) {
+  return new Promise((resolve, reject) => {
+    const timer = setTimeout(
+      () => reject(new Error(`${name} did not start in time`)),
+      START_TIMEOUT_MS,
+    );
+    exited.then(() => reject(new Error(`${name} ended at start`)));
+    createInterface({input: child.stdout}).on('line', line => {
+      log.write(`${line}\n`);
+      if (!line.includes(STARTED_EVENT)) return;
+      clearTimeout(timer);
+      resolve(JSON.parse(line).context);
+    });
+  });
+}
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -18,7 +18,7 @@
   return readdirSync(dir, {withFileTypes: true}).flatMap(entry => {
     const path = join(dir, entry.name);
     if (entry.isDirectory()) return testFiles(path);
-    return path.endsWith('.test.js') ? [path] : [];
+    return /\.test\.m?js$/.test(path) ? [path] : [];
   });
 }
 
@@ -33,6 +33,7 @@
 
 const files = readdirSync('packages')
   .map(name => join('packages', name, 'dist'))
+  .concat('scripts')
   .filter(dir => existsSync(dir))
   .flatMap(testFiles);
 const red = knownRedNames();
