Add the model engine stand-in

Cause: the router needs an engine to be tested against. Change: wl-engine, a decision node on the runtime's loop with continuous batching, chunked prefill, prefix cache under LRU, sessions, reservations with TTL, orders, late reports and lossy cache events; answers follow from the prompt hash. promptText in the runtime says which text is hashed, so that routers and engines agree. The memory property test (60 random histories) fails if a stream's memory is not released (trial).

--- /dev/null
+++ b/packages/standins/src/engine/actions/exit.ts
@@ -0,0 +1,4 @@
+/** Ends the process. */
+export interface Exit {
+  kind: 'exit';
+}
--- /dev/null
+++ b/packages/standins/src/engine/engine_program.ts
@@ -0,0 +1,13 @@
+import type {Program} from '@wisterialadder/runtime/program/program.js';
+import {ENGINE_SETTINGS} from './engine_settings.js';
+import {startEngine} from './start_engine.js';
+
+/** `wl-engine`. */
+export const ENGINE_PROGRAM: Program<typeof ENGINE_SETTINGS> = {
+  name: 'wl-engine',
+  help: 'Simulated model engine.',
+  settings: ENGINE_SETTINGS,
+  start: async run => {
+    await startEngine(run.cfg, run);
+  },
+};
--- /dev/null
+++ b/packages/standins/src/engine/events/client_gone.ts
@@ -0,0 +1,5 @@
+/** The client closed its connection. */
+export interface ClientGone {
+  kind: 'client_gone';
+  callId: string;
+}
--- /dev/null
+++ b/packages/standins/src/engine/events/order_received.ts
@@ -0,0 +1,10 @@
+import type {EngineOrder} from '../orders/engine_order.js';
+
+/** An order of the placer. */
+export interface OrderReceived {
+  kind: 'order_received';
+  callId: string;
+  /** Fencing token. */
+  token: number;
+  order: EngineOrder;
+}
--- /dev/null
+++ b/packages/standins/src/engine/events/reservation_asked.ts
@@ -0,0 +1,9 @@
+/** A router reserves memory. */
+export interface ReservationAsked {
+  kind: 'reservation_asked';
+  callId: string;
+  reqId: string;
+  owner: string;
+  tokens: number;
+  ttlMs: number;
+}
--- /dev/null
+++ b/packages/standins/src/engine/events/tick.ts
@@ -0,0 +1,4 @@
+/** The timer. */
+export interface Tick {
+  kind: 'tick';
+}
--- /dev/null
+++ b/packages/standins/src/engine/events/weights_settled.ts
@@ -0,0 +1,7 @@
+/** Answer of the weight store. */
+export interface WeightsSettled {
+  kind: 'weights_settled';
+  /** Written `NAME@VERSION`. */
+  model: string;
+  ok: boolean;
+}
--- /dev/null
+++ b/packages/standins/src/engine/http/chat_chunk.ts
@@ -0,0 +1,24 @@
+import type {SendPart} from '../actions/send_part.js';
+
+/** One part as a server-sent event with a chat-completion chunk. */
+export function chatChunk(part: SendPart): string {
+  const {sequence, text, last} = part;
+  const chunk = {
+    id: part.callId,
+    object: 'chat.completion.chunk',
+    choices: [
+      {
+        index: 0,
+        delta:
+          sequence === 0 ? {role: 'assistant', content: text} : {content: text},
+        finish_reason: last ? 'stop' : null,
+      },
+    ],
+  };
+  return `id: ${sequence}\ndata: ${JSON.stringify(chunk)}\n\n`;
+}
+
+/** The end marker; its id is the number of parts of the whole answer. */
+export function endMarker(parts: number): string {
+  return `id: ${parts}\ndata: [DONE]\n\n`;
+}
--- /dev/null
+++ b/packages/standins/src/engine/http/engine_routes.ts
@@ -0,0 +1,84 @@
+import {performance} from 'node:perf_hooks';
+import type {HttpRoute} from '@wisterialadder/runtime/http/http_route.js';
+import {query} from '@wisterialadder/runtime/http/query.js';
+import {sendJson} from '@wisterialadder/runtime/http/send_json.js';
+import type {CallTable} from '../../shared/call_table.js';
+import {postRoute} from '../../shared/post_route.js';
+import type {EngineNode} from '../engine_node.js';
+import type {EngineEvent} from '../events/engine_event.js';
+import {ENGINE_FAULTS_SCHEMA} from './faults_schema.js';
+import {ORDER_SCHEMA} from './order_schema.js';
+import {readChat} from './read_chat.js';
+import {
+  EXPORT_SCHEMA,
+  IMPORT_SCHEMA,
+  RESERVATION_SCHEMA,
+} from './session_schemas.js';
+
+const WHOLE_LISTING = -1;
+
+/** Routes of an engine: requests become events, reads are answered at once. */
+export function engineRoutes(
+  node: EngineNode,
+  calls: CallTable,
+  push: (event: EngineEvent) => void,
+): HttpRoute[] {
+  return [
+    {
+      method: 'POST',
+      path: /^\/v1\/chat\/completions$/,
+      handler: async (req, res) => {
+        const chat = await readChat(req);
+        if (!chat.ok) {
+          sendJson(res, 400, {error: {code: 'bad_request', message: chat.val}});
+          return;
+        }
+        const callId = calls.open(res, gone =>
+          push({kind: 'client_gone', callId: gone}),
+        );
+        push({...chat.val, callId});
+      },
+    },
+    {
+      method: 'GET',
+      path: /^\/wl\/load$/,
+      handler: (_req, res) =>
+        sendJson(res, 200, node.report(performance.now())),
+    },
+    {
+      method: 'GET',
+      path: /^\/wl\/cache-events$/,
+      handler: (req, res) => {
+        const after = Number(query(req).get('after') ?? WHOLE_LISTING);
+        sendJson(res, 200, node.cacheEvents(performance.now(), after));
+      },
+    },
+    {
+      method: 'DELETE',
+      path: /^\/wl\/sessions\/(?<sessionId>[^/]+)$/,
+      handler: (_req, res, {sessionId = ''}) =>
+        push({kind: 'session_deleted', callId: calls.open(res), sessionId}),
+    },
+    {
+      method: 'POST',
+      path: /^\/wl\/reservations\/(?<sessionId>[^/]+)\/use$/,
+      handler: (_req, res, {sessionId = ''}) =>
+        push({kind: 'reservation_used', callId: calls.open(res), sessionId}),
+    },
+    postRoute(calls, /^\/wl\/reservations$/, RESERVATION_SCHEMA, (callId, b) =>
+      push({kind: 'reservation_asked', callId, ...b}),
+    ),
+    postRoute(calls, /^\/wl\/exports$/, EXPORT_SCHEMA, (callId, body) =>
+      push({kind: 'export_asked', callId, ...body}),
+    ),
+    postRoute(calls, /^\/wl\/imports$/, IMPORT_SCHEMA, (callId, body) =>
+      push({kind: 'import_asked', callId, ...body}),
+    ),
+    postRoute(calls, /^\/wl\/orders$/, ORDER_SCHEMA, (callId, body) =>
+      push({kind: 'order_received', callId, ...body}),
+    ),
+    postRoute(calls, /^\/control$/, ENGINE_FAULTS_SCHEMA, (callId, faults) =>
+      push({kind: 'control_received', callId, faults}),
+    ),
+  ];
+}
--- /dev/null
+++ b/packages/standins/src/engine/http/faults_schema.ts
@@ -0,0 +1,11 @@
+import {z} from 'zod';
+
+/** Body of an engine's `POST /control`; absent faults stay as they are. */
+export const ENGINE_FAULTS_SCHEMA = z
+  .strictObject({
+    neverAnswer: z.number().min(0).max(1),
+    dieAfterParts: z.number().int().min(-1),
+    slowFactor: z.number().positive(),
+    leaving: z.boolean(),
+  })
+  .partial();
--- /dev/null
+++ b/packages/standins/src/engine/sessions/refusal_code.ts
@@ -0,0 +1,7 @@
+/** Why the engine did not run a request. */
+export type RefusalCode =
+  | 'leaving'
+  | 'full'
+  | 'prompt_too_long'
+  | 'model_not_loaded'
+  | 'reservation_lost';
--- /dev/null
+++ b/packages/standins/src/shared/yes_no.ts
@@ -0,0 +1,10 @@
+import {choice} from '@wisterialadder/runtime/settings/setting_kinds.js';
+import type {
+  Setting,
+  SettingOptions,
+} from '@wisterialadder/runtime/settings/setting.js';
+
+/** A switch. */
+export function yesNo(options: SettingOptions): Setting<'yes' | 'no'> {
+  return choice(['yes', 'no'], options);
+}
