--- /dev/null
+++ b/packages/standins/src/service/service_faults.ts
@@ -0,0 +1,9 @@
+/** Faults that a test switches on; see `POST /control`. */
+export interface ServiceFaults {
+  /** Probability that a call is executed and never answered. */
+  neverAnswer: number;
+  /** Probability that the connection is closed after the execution. */
+  dropAnswer: number;
+  slowFactor: number;
+  leaving: boolean;
+}
