--- /dev/null
+++ b/packages/standins/src/platform/log/stored_record.ts
@@ -0,0 +1,5 @@
+/** A record with the time of its append. */
+export interface StoredRecord {
+  data: string;
+  appendedMs: number;
+}
--- /dev/null
+++ b/packages/standins/src/platform/log/stored_stream.ts
@@ -0,0 +1,54 @@
+import type {LogBatch} from '@wisterialadder/runtime/platform/log_batch.js';
+import type {PlatformConfig} from '../platform_config.js';
+import type {StoredRecord} from './stored_record.js';
+
+const MAX_RECORDS_PER_READ = 1_000;
+const MAX_CHARACTERS_PER_READ = 4 * 1_024 * 1_024;
+
+/** One append-only stream with limited retention. */
+export interface StoredStream {
+  /** Returns the offset. */
+  append(nowMs: number, data: string): number;
+  /** Reads from an offset, or from the earliest if that is newer. */
+  read(nowMs: number, from: number): LogBatch;
+}
+
+/** Creates an empty stream. */
+export function createStoredStream(cfg: PlatformConfig): StoredStream {
+  let records: StoredRecord[] = [];
+  let earliest = 0;
+
+  function trim(nowMs: number): void {
+    const oldestMs = nowMs - cfg.retentionMs;
+    let excess = Math.max(0, records.length - cfg.retentionRecords);
+    while ((records[excess]?.appendedMs ?? oldestMs) < oldestMs) excess += 1;
+    if (excess === 0) return;
+    records = records.slice(excess);
+    earliest += excess;
+  }
+
+  function batchFrom(first: number): LogBatch['records'] {
+    const batch: LogBatch['records'] = [];
+    let characters = 0;
+    for (const [i, {data}] of records.slice(first - earliest).entries()) {
+      characters += data.length;
+      const full = i >= MAX_RECORDS_PER_READ;
+      if (full || (i > 0 && characters > MAX_CHARACTERS_PER_READ)) break;
+      batch.push({offset: first + i, data});
+    }
+    return batch;
+  }
+
+  return {
+    append: (nowMs, data) => {
+      records.push({data, appendedMs: nowMs});
+      trim(nowMs);
+      return earliest + records.length - 1;
+    },
+    read: (nowMs, from) => {
+      trim(nowMs);
+      const end = earliest + records.length;
+      return {earliest, end, records: batchFrom(Math.max(from, earliest))};
+    },
+  };
+}
