Add the load tool

Change: wl-load with a JSON mix, seeded Poisson arrivals with bursts, an idle-fleet baseline, answer checks by prompt hash, an audit of idempotency keys against the services' executions, and table and JSON reports. Mixes for both users.

--- /dev/null
+++ b/packages/standins/bin/wl-load.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/load/main.js';
--- /dev/null
+++ b/packages/standins/src/load/http/read_answer.ts
@@ -0,0 +1,61 @@
+import type {Dispatcher} from 'undici';
+import {checkJson} from '../../shared/check_json.js';
+import type {LoadEvent} from '../load_event.js';
+import {
+  CALL_ANSWER_SCHEMA,
+  CHUNK_SCHEMA,
+  OUTCOME_SCHEMA,
+  REFUSAL_SCHEMA,
+} from './caller_schemas.js';
+import type {SseEvent} from './sse_event.js';
+import {createSseReader} from './sse_reader.js';
+
+/** Reads a streamed answer up to its end marker or outcome. */
+export async function readStream(
+  id: string,
+  res: Dispatcher.ResponseData,
+  push: (event: LoadEvent) => void,
+): Promise<void> {
+  const reader = createSseReader();
+  for await (const bytes of res.body as AsyncIterable<Uint8Array>) {
+    for (const event of reader.add(bytes)) push(translate(id, event));
+  }
+  // Without effect if the request has ended by a marker or an outcome.
+  push({kind: 'connection_ended', id, reason: 'broken'});
+}
+
+function translate(id: string, {event, data}: SseEvent): LoadEvent {
+  if (event === 'wl-outcome') {
+    const stated = checkJson(data, OUTCOME_SCHEMA);
+    return stated.ok
+      ? {kind: 'outcome_stated', id, ...stated.val}
+      : {kind: 'connection_ended', id, reason: 'broken'};
+  }
+  if (data === '[DONE]') return {kind: 'answer_ended', id};
+  const chunk = checkJson(data, CHUNK_SCHEMA);
+  const text = chunk.ok ? chunk.val.choices[0]?.delta.content : data;
+  return {kind: 'part_arrived', id, text: text ?? ''};
+}
+
+/** Reads a service's answer. */
+export async function readCall(
+  id: string,
+  res: Dispatcher.ResponseData,
+): Promise<LoadEvent> {
+  const answer = checkJson(await res.body.text(), CALL_ANSWER_SCHEMA);
+  const bodyHash = answer.ok ? answer.val.bodyHash : '';
+  return {kind: 'call_answered', id, bodyHash};
+}
+
+/** Reads a refusal; a status without an outcome is named by its number. */
+export async function readRefusal(
+  id: string,
+  res: Dispatcher.ResponseData,
+): Promise<LoadEvent> {
+  const body = checkJson(await res.body.text(), REFUSAL_SCHEMA);
+  const named = res.headers['wl-outcome'];
+  const stated = body.ok ? body.val : {};
+  const header = typeof named === 'string' ? named : undefined;
+  const outcome = header ?? stated.outcome ?? `http_${res.statusCode}`;
+  return {kind: 'outcome_stated', id, outcome, code: stated.error?.code ?? ''};
+}
--- /dev/null
+++ b/packages/standins/src/load/http/read_executions.ts
@@ -0,0 +1,32 @@
+import {request} from 'undici';
+import {z} from 'zod';
+import {checkJson} from '../../shared/check_json.js';
+
+const TIMEOUT_MS = 5_000;
+const EXECUTIONS_SCHEMA = z.record(z.string(), z.number());
+
+/** Sums the executions by key; a service that is away counts as none. */
+export async function readExecutions(
+  serviceUrls: string[],
+): Promise<Record<string, number>> {
+  const sums = new Map<string, number>();
+  for (const url of serviceUrls) {
+    for (const [key, count] of Object.entries(await readOne(url))) {
+      sums.set(key, (sums.get(key) ?? 0) + count);
+    }
+  }
+  return Object.fromEntries(sums);
+}
+
+async function readOne(url: string): Promise<Record<string, number>> {
+  try {
+    const res = await request(`${url}/executions`, {
+      headersTimeout: TIMEOUT_MS,
+      bodyTimeout: TIMEOUT_MS,
+    });
+    const counts = checkJson(await res.body.text(), EXECUTIONS_SCHEMA);
+    return counts.ok ? counts.val : {};
+  } catch {
+    return {};
+  }
+}
--- /dev/null
+++ b/packages/standins/src/load/load_phase.ts
@@ -0,0 +1,2 @@
+/** Progress of a run. */
+export type LoadPhase = 'baseline' | 'load' | 'drain' | 'audit' | 'finished';
--- /dev/null
+++ b/packages/standins/src/load/report/json_format.ts
@@ -0,0 +1,9 @@
+import type {LoadResult} from '../stats/load_result.js';
+import {ReportFormat} from './report_format.js';
+
+/** One JSON object on one line. */
+export class JsonFormat extends ReportFormat {
+  override format(result: LoadResult): string {
+    return `${JSON.stringify(result)}\n`;
+  }
+}
--- /dev/null
+++ b/packages/standins/src/load/report/report_name.ts
@@ -0,0 +1,2 @@
+/** Names of the report formats. */
+export type ReportName = 'table' | 'json';
--- /dev/null
+++ b/packages/standins/src/load/requests/planned_request.ts
@@ -0,0 +1,34 @@
+/** What all requests of a run have in common. */
+interface PlannedCommon {
+  id: string;
+  phase: 'baseline' | 'load';
+  className: string;
+  customer: string;
+  /** Bearer key. */
+  key: string;
+  timeoutMs: number;
+  /** UUIDv7; empty for idempotent classes. */
+  idempotencyKey: string;
+  /** Whether the request is the second one with its idempotency key. */
+  repeated: boolean;
+}
+
+/** A chat-completion request. */
+export interface PlannedChat extends PlannedCommon {
+  kind: 'chat';
+  model: string;
+  prompt: string;
+  promptTokens: number;
+  maxTokens: number;
+}
+
+/** A call of a plain service. */
+export interface PlannedCall extends PlannedCommon {
+  kind: 'service';
+  service: string;
+  action: string;
+  body: string;
+}
+
+/** A request that is to be sent. */
+export type PlannedRequest = PlannedChat | PlannedCall;
--- /dev/null
+++ b/packages/standins/src/load/stats/summary.ts
@@ -0,0 +1,9 @@
+/** Percentiles of a quantity. */
+export interface Summary {
+  count: number;
+  mean: number;
+  p50: number;
+  p95: number;
+  p99: number;
+  max: number;
+}
