Add membership and spread endpoint state between routers

Cause: routers need to know which peers live, and an endpoint that one router knows to be leaving or failed must get no work from any of them. Endpoint notices are held against the endpoint's incarnation and pushed at once; work sent since the last report is spread largest first and shown as peerSentTokens. The circuit breaker moves out of the endpoint directory.

--- /dev/null
+++ b/packages/core/src/endpoints/create_endpoint_view.ts
@@ -0,0 +1,16 @@
+import type {EndpointRow} from '../types/endpoint_row.js';
+import type {EndpointView} from './endpoint_view.js';
+
+/** View of an endpoint that nothing is known of yet. */
+export function createEndpointView(row: EndpointRow): EndpointView {
+  return {
+    row,
+    report: undefined,
+    outstanding: 0,
+    sentTokens: 0,
+    peerSentTokens: 0,
+    leavingIncarnation: undefined,
+    blockedUntilMs: 0,
+    consecutiveFailures: 0,
+  };
+}
--- a/packages/core/src/endpoints/endpoint_directory.ts
+++ b/packages/core/src/endpoints/endpoint_directory.ts
@@ -1,21 +1,33 @@
 import type {EndpointReport} from '../router/events/endpoint_report.js';
 import type {RouterContext} from '../router/router_context.js';
+import type {EndpointNotice} from '../router/messages/endpoint_notice.js';
 import type {EndpointRow} from '../types/endpoint_row.js';
+import {countFailure} from './circuit_breaker.js';
+import {createEndpointView} from './create_endpoint_view.js';
+import type {EndpointListener} from './endpoint_listener.js';
+import type {EndpointNoticeState} from './endpoint_notice_state.js';
 import type {EndpointView} from './endpoint_view.js';
+import {createLeavingState} from './leaving_state.js';
+import {createPeerDoubts} from './peer_doubts.js';
 
-const FAILURES_BEFORE_BLOCK = 3;
-const BLOCK_MS = 1_000;
-const MAX_BLOCK_MS = 15_000;
-const UNKNOWN_INCARNATION = '';
+const NO_LISTENER: EndpointListener = {
+  changed: () => undefined,
+  reported: () => undefined,
+  sent: () => undefined,
+};
 
 /** The endpoints of the table and what is known of each. */
 export interface EndpointDirectory {
-  /** Takes over the rows of a new table. */
-  syncRows(ctx: RouterContext, rows: EndpointRow[]): void;
+  /** Takes over the rows of the table as read up to `tableNext`. */
+  syncRows(ctx: RouterContext, rows: EndpointRow[], tableNext?: number): void;
   report(ctx: RouterContext, report: EndpointReport): void;
   unreachable(ctx: RouterContext, name: string): void;
   /** Stops new work to the incarnation of the endpoint seen last. */
   markLeaving(ctx: RouterContext, name: string, source: string): void;
+  /** Takes over a peer's notice; answers whether it was new. */
+  hear(ctx: RouterContext, notice: EndpointNotice): boolean;
+  /** Sets the prompt tokens sent by other routers since the last report. */
+  setPeerSent(name: string, tokens: number): void;
   attemptStarted(name: string, promptTokens: number): void;
   attemptEnded(ctx: RouterContext, name: string, ok: boolean): void;
   /** Endpoints of a service that may take new work now. */
@@ -23,22 +35,39 @@
   /** Whether any endpoint of the table serves the service. */
   serves(service: string): boolean;
   get(name: string): EndpointView | undefined;
+  all(): Iterable<EndpointView>;
 }
 
 /** Creates an empty directory. */
-export function createEndpointDirectory(): EndpointDirectory {
+export function createEndpointDirectory(
+  listener: EndpointListener = NO_LISTENER,
+): EndpointDirectory {
   const views = new Map<string, EndpointView>();
+  const leaving = createLeavingState();
+  const doubts = createPeerDoubts();
 
-  function syncRows(ctx: RouterContext, rows: EndpointRow[]): void {
-    const names = new Set(rows.map(row => row.name));
-    for (const name of [...views.keys()]) {
-      if (!names.has(name)) views.delete(name);
+  function syncRows(
+    ctx: RouterContext,
+    rows: EndpointRow[],
+    tableNext = 0,
+  ): void {
+    const byName = new Map(rows.map(row => [row.name, row]));
+    for (const {row} of [...views.values()]) {
+      const now = byName.get(row.name);
+      if (row.desired === 'serving' && now?.desired !== 'serving') {
+        tell(ctx, row.name, 'withdrawn', '', tableNext);
+      }
+      if (!now) {
+        views.delete(row.name);
+        leaving.forget(row.name);
+      }
     }
     for (const row of rows) {
       const view = views.get(row.name);
       if (view) view.row = row;
-      else views.set(row.name, newView(row));
+      else views.set(row.name, createEndpointView(row));
     }
+    doubts.tableRead(tableNext);
     ctx.emit({
       kind: 'watch_endpoints',
       endpoints: rows
@@ -48,32 +77,53 @@
   }
 
   function report(ctx: RouterContext, report: EndpointReport): void {
-    const view = views.get(report.endpoint);
+    const name = report.endpoint;
+    const view = views.get(name);
     if (!view) return;
     view.report = report;
     view.sentTokens = 0;
-    if (report.leaving) markLeaving(ctx, report.endpoint, 'report');
-    else if (view.leavingIncarnation !== report.incarnation) {
-      view.leavingIncarnation = undefined;
-    }
+    doubts.reported(ctx, name);
+    listener.reported(ctx, name);
+    const leavingNow = leaving.reported(ctx, view);
+    if (leavingNow !== undefined) tell(ctx, name, 'leaving', leavingNow);
   }
 
   function unreachable(ctx: RouterContext, name: string): void {
     const view = views.get(name);
-    if (view) countFailure(ctx, view);
+    if (view) failed(ctx, view);
   }
 
   function markLeaving(ctx: RouterContext, name: string, source: string): void {
     const view = views.get(name);
-    if (!view) return;
-    const incarnation = view.report?.incarnation ?? UNKNOWN_INCARNATION;
-    if (view.leavingIncarnation === incarnation) return;
-    view.leavingIncarnation = incarnation;
-    ctx.emit({
-      kind: 'write_log',
-      event: 'WL5001',
-      fields: {endpoint: name, state: 'leaving', source},
-    });
+    const incarnation = view && leaving.mark(ctx, view, source);
+    if (incarnation !== undefined) tell(ctx, name, 'leaving', incarnation);
+  }
+
+  function tell(
+    ctx: RouterContext,
+    endpoint: string,
+    state: EndpointNoticeState,
+    incarnation: string,
+    tableNext = 0,
+  ): void {
+    listener.changed(ctx, {endpoint, incarnation, state, tableNext});
+  }
+
+  function hear(ctx: RouterContext, notice: EndpointNotice): boolean {
+    const {endpoint, incarnation} = notice;
+    const view = views.get(endpoint);
+    if (!view) return false;
+    switch (notice.state) {
+      case 'leaving':
+        return leaving.hear(ctx, view, incarnation);
+      case 'failed':
+        if ((view.report?.incarnation ?? incarnation) === incarnation) {
+          doubts.failed(ctx, endpoint);
+        }
+        return true;
+      case 'withdrawn':
+        return doubts.withdrawn(endpoint, notice.stamp);
+    }
   }
 
   function attemptStarted(name: string, promptTokens: number): void {
@@ -81,6 +131,7 @@
     if (!view) return;
     view.outstanding += 1;
     view.sentTokens += promptTokens;
+    listener.sent(name, promptTokens);
   }
 
   function attemptEnded(ctx: RouterContext, name: string, ok: boolean): void {
@@ -88,20 +139,23 @@
     if (!view) return;
     view.outstanding = Math.max(0, view.outstanding - 1);
     if (ok) view.consecutiveFailures = 0;
-    else countFailure(ctx, view);
+    else failed(ctx, view);
   }
 
-  function countFailure(ctx: RouterContext, view: EndpointView): void {
-    view.consecutiveFailures += 1;
-    const beyond = view.consecutiveFailures - FAILURES_BEFORE_BLOCK;
-    if (beyond < 0) return;
-    const blockMs = Math.min(MAX_BLOCK_MS, BLOCK_MS * 2 ** beyond);
-    view.blockedUntilMs = ctx.nowMs + blockMs;
-    ctx.emit({
-      kind: 'write_log',
-      event: 'WL5001',
-      fields: {endpoint: view.row.name, state: 'blocked', blockMs},
-    });
+  function failed(ctx: RouterContext, view: EndpointView): void {
+    if (!countFailure(ctx, view)) return;
+    const failing = [...views.values()].filter(
+      other => other.blockedUntilMs > ctx.nowMs,
+    );
+    const {report} = view;
+    // Where most endpoints fail, the fault is likely on this router's side.
+    if (!report || failing.length * 2 > Math.max(2, views.size)) return;
+    tell(ctx, report.endpoint, 'failed', report.incarnation);
+  }
+
+  function setPeerSent(name: string, tokens: number): void {
+    const view = views.get(name);
+    if (view) view.peerSentTokens = tokens;
   }
 
   function candidates(service: string, nowMs: number): EndpointView[] {
@@ -110,7 +164,8 @@
         view.row.service === service &&
         view.row.desired === 'serving' &&
         view.leavingIncarnation === undefined &&
-        view.blockedUntilMs <= nowMs,
+        view.blockedUntilMs <= nowMs &&
+        !doubts.blocks(view.row.name, nowMs),
     );
   }
 
@@ -119,23 +174,14 @@
     report,
     unreachable,
     markLeaving,
+    hear,
+    setPeerSent,
     attemptStarted,
     attemptEnded,
     candidates,
     serves: service =>
       [...views.values()].some(view => view.row.service === service),
     get: name => views.get(name),
-  };
-}
-
-function newView(row: EndpointRow): EndpointView {
-  return {
-    row,
-    report: undefined,
-    outstanding: 0,
-    sentTokens: 0,
-    leavingIncarnation: undefined,
-    blockedUntilMs: 0,
-    consecutiveFailures: 0,
+    all: () => views.values(),
   };
 }
--- /dev/null
+++ b/packages/core/src/endpoints/endpoint_gossip.ts
@@ -0,0 +1,99 @@
+import {createGossipQueue} from '../membership/gossip_queue.js';
+import type {EndpointNotice} from '../router/messages/endpoint_notice.js';
+import type {Gossip} from '../router/messages/gossip.js';
+import type {WorkNotice} from '../router/messages/work_notice.js';
+import type {RouterConfig} from '../router/router_config.js';
+import type {RouterContext} from '../router/router_context.js';
+import type {RouterFeature} from '../router/router_feature.js';
+import type {EndpointChange} from './endpoint_change.js';
+import type {EndpointDirectory} from './endpoint_directory.js';
+import type {EndpointListener} from './endpoint_listener.js';
+import {createNoticeStamps} from './notice_stamps.js';
+import {createPeerWork} from './peer_work.js';
+import {createVmDepartures} from './vm_departures.js';
+
+const MAX_NOTICES_PER_MESSAGE = 6;
+
+/** Spreads endpoint state and sent work between routers. */
+export interface EndpointGossip extends EndpointListener, RouterFeature {
+  write(
+    ctx: RouterContext,
+    maxSends: number,
+  ): Pick<Gossip, 'endpoints' | 'work'>;
+  read(ctx: RouterContext, notices: EndpointNotice[], work: WorkNotice[]): void;
+  /** Notices of endpoints that are leaving now, for whole-state exchange. */
+  active(): EndpointNotice[];
+  /** Whether there is news that should not wait for the next probe. */
+  urgent(): boolean;
+  /** The urgent news was sent. */
+  pushed(): void;
+}
+
+/** Creates the gossip of one router; it listens to the directory. */
+export function createEndpointGossip(
+  cfg: Pick<RouterConfig, 'address' | 'incarnation'>,
+  endpoints: () => EndpointDirectory,
+): EndpointGossip {
+  const queue = createGossipQueue<EndpointNotice>();
+  const stamps = createNoticeStamps(cfg.incarnation);
+  const work = createPeerWork(cfg, endpoints);
+  const vmDepartures = createVmDepartures(endpoints);
+  let unpushed = false;
+
+  function enqueue(notice: EndpointNotice): void {
+    queue.put(`${notice.state}/${notice.endpoint}`, notice);
+    unpushed = true;
+  }
+
+  function changed(_ctx: RouterContext, change: EndpointChange): void {
+    const {tableNext, ...rest} = change;
+    const stamp = change.state === 'withdrawn' ? tableNext : stamps.next();
+    enqueue({...rest, origin: cfg.address, stamp});
+  }
+
+  function read(
+    ctx: RouterContext,
+    notices: EndpointNotice[],
+    workNotices: WorkNotice[],
+  ): void {
+    for (const notice of notices) {
+      if (notice.origin === cfg.address && notice.state === 'failed') continue;
+      // A failure notice that comes round again must not renew the doubt.
+      if (notice.state === 'failed' && !stamps.isNew(ctx, notice)) continue;
+      if (endpoints().hear(ctx, notice)) enqueue(notice);
+    }
+    work.read(ctx, workNotices);
+  }
+
+  function active(): EndpointNotice[] {
+    return [...endpoints().all()].flatMap(view => {
+      const {leavingIncarnation: incarnation} = view;
+      if (incarnation === undefined || incarnation === '') return [];
+      const endpoint = view.row.name;
+      const origin = cfg.address;
+      return [{endpoint, incarnation, state: 'leaving', origin, stamp: 0}];
+    });
+  }
+
+  return {
+    changed,
+    reported: work.reported,
+    sent: work.sent,
+    write: (ctx, maxSends) => ({
+      endpoints: queue.take(MAX_NOTICES_PER_MESSAGE, maxSends),
+      work: work.write(ctx),
+    }),
+    read,
+    active,
+    urgent: () => unpushed || work.urgent(),
+    pushed: () => {
+      unpushed = false;
+      work.pushed();
+    },
+    handlers: {vm_list_read: vmDepartures},
+    expire: ctx => {
+      stamps.expire(ctx);
+      work.expire(ctx);
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/endpoints/endpoint_listener.ts
@@ -0,0 +1,11 @@
+import type {RouterContext} from '../router/router_context.js';
+import type {EndpointChange} from './endpoint_change.js';
+
+/** Hears what a directory finds out about its endpoints. */
+export interface EndpointListener {
+  changed(ctx: RouterContext, change: EndpointChange): void;
+  /** A load report was read; it includes the work sent before it. */
+  reported(ctx: RouterContext, endpoint: string): void;
+  /** Work was sent to an endpoint. */
+  sent(endpoint: string, promptTokens: number): void;
+}
--- a/packages/core/src/endpoints/endpoint_view.ts
+++ b/packages/core/src/endpoints/endpoint_view.ts
@@ -10,7 +10,9 @@
   outstanding: number;
   /** Prompt tokens sent since the newest report, by this router. */
   sentTokens: number;
-  /** Incarnation that is known to be leaving; undefined if none is. */
+  /** The same for other routers, as far as they have told. */
+  peerSentTokens: number;
+  /** Incarnation that is leaving; empty if no report has named it yet. */
   leavingIncarnation: string | undefined;
   /** Monotonic time until which the endpoint gets no work after failures. */
   blockedUntilMs: number;
--- /dev/null
+++ b/packages/core/src/membership/log_member_change.ts
@@ -0,0 +1,31 @@
+import type {LogEventId} from '../shared/log_event_id.js';
+import type {MemberUpdate} from '../router/messages/member_update.js';
+import type {RouterContext} from '../router/router_context.js';
+import type {MemberStatus} from './member_status.js';
+
+const EVENTS: Record<MemberStatus, LogEventId> = {
+  alive: 'WL4001',
+  suspect: 'WL4002',
+  dead: 'WL4003',
+};
+
+/** Logs a change of belief, but not a mere rise of the refutation number. */
+export function logMemberChange(
+  ctx: RouterContext,
+  before: MemberUpdate | undefined,
+  update: MemberUpdate,
+): void {
+  const same =
+    before?.status === update.status &&
+    before.incarnation === update.incarnation;
+  if (same) return;
+  ctx.emit({
+    kind: 'write_log',
+    event: EVENTS[update.status],
+    fields: {
+      member: update.address,
+      incarnation: update.incarnation,
+      failureDomain: update.failureDomain,
+    },
+  });
+}
--- /dev/null
+++ b/packages/core/src/membership/prober.ts
@@ -0,0 +1,174 @@
+import type {ProbeAck} from '../router/messages/probe_ack.js';
+import type {ProbeRequest} from '../router/messages/probe_request.js';
+import type {RouterContext} from '../router/router_context.js';
+import {pick} from '../shared/pick.js';
+import type {GossipExchange} from './gossip_exchange.js';
+import type {MemberTable} from './member_table.js';
+import {createProbeSchedule} from './probe_schedule.js';
+
+const PERIOD_MS = 1_000;
+/** Several times the round trip between failure domains, with jitter. */
+const DIRECT_TIMEOUT_MS = 300;
+const CHECK_INTERVAL_MS = 2_000;
+
+/** Probes members and helps others to do so. */
+export interface Prober {
+  expire(ctx: RouterContext): void;
+  request(ctx: RouterContext, from: string, message: ProbeRequest): void;
+  ack(ctx: RouterContext, message: ProbeAck): void;
+  /** Probes a member that may be wrongly believed dead. */
+  check(ctx: RouterContext, address: string): void;
+  /** Drops the current probe, because this process was paused itself. */
+  reset(): void;
+}
+
+interface OpenProbe {
+  target: string;
+  incarnation: number;
+  sequence: number;
+  sentMs: number;
+  helpersAsked: boolean;
+}
+
+interface Relay {
+  origin: string;
+  sequence: number;
+  untilMs: number;
+}
+
+/** Creates a prober whose first period starts at a random time. */
+export function createProber(
+  table: MemberTable,
+  exchange: GossipExchange,
+): Prober {
+  const schedule = createProbeSchedule(table);
+  const relays = new Map<number, Relay>();
+  let open: OpenProbe | undefined;
+  let sequence = 0;
+  let nextPeriodMs: number | undefined;
+
+  function sendProbe(ctx: RouterContext, to: string): number {
+    sequence += 1;
+    const gossip = exchange.write(ctx, to);
+    ctx.emit({
+      kind: 'send_peer',
+      to,
+      message: {kind: 'probe', sequence, gossip},
+    });
+    return sequence;
+  }
+
+  function expire(ctx: RouterContext): void {
+    nextPeriodMs ??= ctx.nowMs + ctx.random() * PERIOD_MS;
+    if (ctx.nowMs >= nextPeriodMs) {
+      const soonestMs = ctx.nowMs + PERIOD_MS / 2;
+      nextPeriodMs = Math.max(nextPeriodMs + PERIOD_MS, soonestMs);
+      period(ctx);
+    } else if (open && !open.helpersAsked) {
+      if (ctx.nowMs - open.sentMs >= DIRECT_TIMEOUT_MS) askHelpers(ctx, open);
+    }
+  }
+
+  function period(ctx: RouterContext): void {
+    if (open && isSameStart(open)) table.suspect(ctx, open.target);
+    open = undefined;
+    for (const [number, relay] of relays) {
+      if (relay.untilMs <= ctx.nowMs) relays.delete(number);
+    }
+    const member = schedule(ctx)?.update;
+    const target = member?.address;
+    if (member && target !== undefined) {
+      const number = sendProbe(ctx, target);
+      open = {
+        target,
+        incarnation: member.incarnation,
+        sequence: number,
+        sentMs: ctx.nowMs,
+        helpersAsked: false,
+      };
+    }
+    const suspects = table
+      .aliveOthers()
+      .filter(m => m.suspectedHere && m.update.address !== target);
+    const suspect = pick(suspects, ctx.random);
+    if (suspect) sendProbe(ctx, suspect.update.address);
+  }
+
+  function isSameStart(probe: OpenProbe): boolean {
+    const known = table.get(probe.target)?.update.incarnation;
+    return known === probe.incarnation;
+  }
+
+  /**
+   * One helper near the target and one in a third failure domain, where there
+   * are any, so that a broken path between two domains is no reason to doubt.
+   */
+  function askHelpers(ctx: RouterContext, probe: OpenProbe): void {
+    probe.helpersAsked = true;
+    const domain = table.get(probe.target)?.update.failureDomain;
+    const helpers = table
+      .aliveOthers()
+      .filter(member => member.update.address !== probe.target);
+    const near = helpers.filter(m => m.update.failureDomain === domain);
+    const first = pick(near.length > 0 ? near : helpers, ctx.random);
+    const rest = helpers.filter(member => member !== first);
+    const used = [domain, table.self().failureDomain];
+    const third = rest.filter(m => !used.includes(m.update.failureDomain));
+    const second = pick(third.length > 0 ? third : rest, ctx.random);
+    for (const helper of [first, second]) {
+      if (!helper) continue;
+      const to = helper.update.address;
+      const gossip = exchange.write(ctx, to);
+      const {target, sequence: number} = probe;
+      ctx.emit({
+        kind: 'send_peer',
+        to,
+        message: {kind: 'probe_request', sequence: number, target, gossip},
+      });
+    }
+  }
+
+  function request(
+    ctx: RouterContext,
+    from: string,
+    message: ProbeRequest,
+  ): void {
+    const number = sendProbe(ctx, message.target);
+    relays.set(number, {
+      origin: from,
+      sequence: message.sequence,
+      untilMs: ctx.nowMs + PERIOD_MS,
+    });
+  }
+
+  function check(ctx: RouterContext, address: string): void {
+    const member = table.get(address);
+    if (!member || ctx.nowMs - member.checkedMs < CHECK_INTERVAL_MS) return;
+    member.checkedMs = ctx.nowMs;
+    sendProbe(ctx, address);
+  }
+
+  function ack(ctx: RouterContext, message: ProbeAck): void {
+    if (open?.sequence === message.sequence) open = undefined;
+    const relay = relays.get(message.sequence);
+    if (!relay) return;
+    relays.delete(message.sequence);
+    const to = relay.origin;
+    const gossip = exchange.write(ctx, to);
+    ctx.emit({
+      kind: 'send_peer',
+      to,
+      message: {kind: 'probe_ack', sequence: relay.sequence, gossip},
+    });
+  }
+
+  return {
+    expire,
+    request,
+    ack,
+    check,
+    reset: () => {
+      open = undefined;
+    },
+  };
+}
--- a/packages/core/src/mocks/router_events.ts
+++ b/packages/core/src/mocks/router_events.ts
@@ -11,6 +11,7 @@
     address: '127.0.0.1:7001',
     failureDomain: 'amman-1',
     incarnation: 1,
+    peers: [],
     strategy: 'least_outstanding',
     firstTokenTimeoutMs: 2_000,
     idleTimeoutMs: 1_000,
--- /dev/null
+++ b/packages/core/src/router/messages/probe.ts
@@ -0,0 +1,8 @@
+import type {Gossip} from './gossip.js';
+
+/** Asks for a `probe_ack` with the same sequence number. */
+export interface Probe {
+  kind: 'probe';
+  sequence: number;
+  gossip: Gossip;
+}
--- a/packages/core/src/router/router_config.ts
+++ b/packages/core/src/router/router_config.ts
@@ -7,6 +7,8 @@
   failureDomain: string;
   /** Larger for each start of the process. */
   incarnation: number;
+  /** Peer addresses to join by, `IP:PORT`; the own one may be among them. */
+  peers: string[];
   strategy: StrategyName;
   /** Silence before the first part of an answer, in milliseconds. */
   firstTokenTimeoutMs: number;
--- a/packages/core/src/router/router_node.ts
+++ b/packages/core/src/router/router_node.ts
@@ -3,7 +3,9 @@
 import {createNoClaims} from '../claims/no_claims.js';
 import {createDrain} from '../drain/drain.js';
 import {createEndpointDirectory} from '../endpoints/endpoint_directory.js';
+import {createEndpointGossip} from '../endpoints/endpoint_gossip.js';
 import {createUnlimited} from '../limits/unlimited.js';
+import {createMembership} from '../membership/membership.js';
 import {FifoQueue} from '../queue/fifo_queue.js';
 import {createRequestTracker} from '../requests/request_tracker.js';
 import {createStrategy} from '../routing/create_strategy.js';
@@ -23,12 +25,18 @@
 export function createRouterNode(
   cfg: RouterConfig,
 ): DecisionNode<RouterEvent, RouterAction> {
-  const endpoints = createEndpointDirectory();
+  const endpointGossip = createEndpointGossip(cfg, () => endpoints);
+  const endpoints = createEndpointDirectory(endpointGossip);
   const queue = new FifoQueue();
   const limits = createUnlimited();
   const table = createTableFeature(ctx =>
-    endpoints.syncRows(ctx, table.fold.rowsOf('endpoint')),
+    endpoints.syncRows(ctx, table.fold.rowsOf('endpoint'), table.fold.next()),
   );
+  const members = createMembership({
+    cfg,
+    endpoints: endpointGossip,
+    tableNext: () => table.fold.next(),
+  });
   const tracker = createRequestTracker({
     cfg,
     queue,
@@ -86,5 +94,11 @@
     }
   }
 
-  return runFeatures([table, createReadinessFeature(table, drain), requests]);
+  return runFeatures([
+    table,
+    createReadinessFeature(table, drain),
+    endpointGossip,
+    requests,
+    members,
+  ]);
 }
--- a/packages/core/src/shared/log_events.ts
+++ b/packages/core/src/shared/log_events.ts
@@ -40,6 +40,31 @@
     text: 'log record ignored',
     action: 'Find out who writes malformed records to the stream.',
   },
+  WL4001: {
+    level: 'info',
+    text: 'member alive',
+    action: 'None.',
+  },
+  WL4002: {
+    level: 'info',
+    text: 'member suspected',
+    action: 'Check the network if it repeats and the member is alive.',
+  },
+  WL4003: {
+    level: 'warn',
+    text: 'member dead',
+    action: 'Check the VM if it was not replaced.',
+  },
+  WL4004: {
+    level: 'warn',
+    text: 'own suspicion or death refuted',
+    action: 'Check this process for pauses and its network for loss.',
+  },
+  WL4005: {
+    level: 'error',
+    text: 'own address known with a later start',
+    action: 'Check for a second process and for a clock that was set back.',
+  },
   WL5001: {
     level: 'info',
     text: 'endpoint changed state',
--- a/packages/core/src/shared/metrics.ts
+++ b/packages/core/src/shared/metrics.ts
@@ -35,4 +35,9 @@
     help: 'Offset of the next table record expected.',
     labels: [],
   },
+  members_alive: {
+    type: 'gauge',
+    help: 'Routers believed alive, this one included.',
+    labels: [],
+  },
 } as const;
