Release orphaned sessions on engines

Change: the sessions in load reports are judged against the membership, and by the owner itself for its own; a grace period, the order of rendezvous hashing and a guard for routers that are cut off decide who releases when.

--- /dev/null
+++ b/packages/core/src/orphans/orphans.ts
@@ -0,0 +1,137 @@
+import type {EndpointDirectory} from '../endpoints/endpoint_directory.js';
+import type {Membership} from '../membership/membership.js';
+import type {EndpointReport} from '../router/events/endpoint_report.js';
+import type {RouterContext} from '../router/router_context.js';
+import type {RouterFeature} from '../router/router_feature.js';
+import type {EngineSession} from '../types/engine_session.js';
+import {chooseReleasers} from './choose_releasers.js';
+import type {EndpointSightings} from './endpoint_sightings.js';
+import {judgeOwner} from './judge_owner.js';
+import type {OrphanReason} from './orphan_reason.js';
+import {parseSessionOwner} from './session_owner.js';
+import type {SessionSighting} from './session_sighting.js';
+
+/** Several times what a living member needs to refute its death. */
+const GRACE_MS = 15_000;
+/** A new router knows every member after a few digest exchanges. */
+const FORGOTTEN_GRACE_MS = 120_000;
+/** The next router in order steps in if a session is still listed. */
+const RANK_DELAY_MS = 10_000;
+const REPEAT_MS = 5_000;
+/** After a longer silence of the endpoint the grace period starts again. */
+const REPORT_GAP_MS = 5_000;
+
+/** What the orphan search needs of the router. */
+export interface OrphansParts {
+  members: Membership;
+  endpoints: EndpointDirectory;
+  /** Whether this router still uses a session that is listed as its own. */
+  knows(endpoint: string, session: EngineSession): boolean;
+}
+
+/** Creates the feature that releases engine memory without a user. */
+export function createOrphans(parts: OrphansParts): RouterFeature {
+  const {members, endpoints} = parts;
+  const sightings = new Map<string, EndpointSightings>();
+
+  function reported(ctx: RouterContext, report: EndpointReport): void {
+    const {endpoint, incarnation} = report;
+    const before = sightings.get(endpoint);
+    const continuous =
+      before?.incarnation === incarnation &&
+      ctx.nowMs - before.reportMs <= REPORT_GAP_MS;
+    // A router that lost most of its peers is likely to be cut off itself, and
+    // silence proves nothing; the grace period starts when they are back.
+    const cutOff = members.dead().length > members.alive().length;
+    const sessions = new Map<string, SessionSighting>();
+    for (const session of report.sessions) {
+      const reason = judge(endpoint, session, cutOff);
+      if (!reason) continue;
+      const known = continuous ? before.sessions.get(session.id) : undefined;
+      const sighting =
+        known?.reason === reason
+          ? known
+          : {reason, sinceMs: ctx.nowMs, releasedMs: undefined};
+      sessions.set(session.id, sighting);
+      consider(ctx, endpoint, session, sighting);
+    }
+    sightings.set(endpoint, {incarnation, reportMs: ctx.nowMs, sessions});
+  }
+
+  function judge(
+    endpoint: string,
+    session: EngineSession,
+    cutOff: boolean,
+  ): OrphanReason | undefined {
+    const owner = parseSessionOwner(session.owner);
+    if (!owner) return undefined;
+    const own =
+      owner.address === members.self &&
+      owner.incarnation === members.incarnation(members.self);
+    if (!own) {
+      const reason = judgeOwner(members, owner);
+      return reason === 'owner_restarted' || !cutOff ? reason : undefined;
+    }
+    return parts.knows(endpoint, session) ? undefined : 'unknown_to_owner';
+  }
+
+  function consider(
+    ctx: RouterContext,
+    endpoint: string,
+    session: EngineSession,
+    sighting: SessionSighting,
+  ): void {
+    const {reason, sinceMs, releasedMs} = sighting;
+    const rank = ownRank(endpoint, session, reason);
+    if (rank < 0) return;
+    const graceMs =
+      reason === 'owner_forgotten' ? FORGOTTEN_GRACE_MS : GRACE_MS;
+    const dueMs = sinceMs + graceMs + rank * RANK_DELAY_MS;
+    if (ctx.nowMs < dueMs) {
+      const owner = parseSessionOwner(session.owner);
+      if (owner && reason === 'owner_dead' && rank === 0) {
+        members.check(ctx, owner.address);
+      }
+      return;
+    }
+    if (releasedMs !== undefined && ctx.nowMs - releasedMs < REPEAT_MS) return;
+    sighting.releasedMs = ctx.nowMs;
+    release(ctx, endpoint, session, reason);
+  }
+
+  function ownRank(
+    endpoint: string,
+    session: EngineSession,
+    reason: OrphanReason,
+  ): number {
+    if (reason === 'unknown_to_owner') return 0;
+    const domain = endpoints.get(endpoint)?.row.failureDomain ?? '';
+    const key = `${endpoint}/${session.id}`;
+    return chooseReleasers(members, domain, key).indexOf(members.self);
+  }
+
+  function release(
+    ctx: RouterContext,
+    endpoint: string,
+    session: EngineSession,
+    reason: OrphanReason,
+  ): void {
+    const url = endpoints.get(endpoint)?.row.url;
+    if (url === undefined) return;
+    const {id: sessionId, owner, reqId, tokens} = session;
+    ctx.emit({kind: 'release_session', endpoint, url, sessionId});
+    ctx.emit({
+      kind: 'observe',
+      metric: 'orphans_released_total',
+      labels: {reason},
+      value: 1,
+    });
+    ctx.emit({
+      kind: 'write_log',
+      event: 'WL5002',
+      fields: {endpoint, sessionId, owner, reqId, tokens, reason},
+    });
+  }
+
+  return {handlers: {endpoint_report: reported}};
+}
--- a/packages/core/src/router/router_node.ts
+++ b/packages/core/src/router/router_node.ts
@@ -6,6 +6,8 @@
 import {createEndpointGossip} from '../endpoints/endpoint_gossip.js';
 import {createUnlimited} from '../limits/unlimited.js';
 import {createMembership} from '../membership/membership.js';
+import {createOrphans} from '../orphans/orphans.js';
+import {isSessionInUse} from '../orphans/is_session_in_use.js';
 import {FifoQueue} from '../queue/fifo_queue.js';
 import {createRequestTracker} from '../requests/request_tracker.js';
 import {createStrategy} from '../routing/create_strategy.js';
@@ -88,6 +90,13 @@
     },
   };
 
+  const orphans = createOrphans({
+    members,
+    endpoints,
+    knows: (endpoint, session) =>
+      isSessionInUse(tracker.get(session.reqId), endpoint, session),
+  });
+
   function cutAll(ctx: RouterContext): void {
     for (const state of [...tracker.all()]) {
       tracker.abort(ctx, state.entry.reqId, 'failure', 'draining');
@@ -100,5 +109,6 @@
     endpointGossip,
     requests,
     members,
+    orphans,
   ]);
 }
--- a/packages/core/src/shared/log_events.ts
+++ b/packages/core/src/shared/log_events.ts
@@ -70,6 +70,11 @@
     text: 'endpoint changed state',
     action: 'Check the endpoint if it is not leaving on purpose.',
   },
+  WL5002: {
+    level: 'warn',
+    text: 'orphaned session released',
+    action: 'Check the owner if it is alive; the reason says what was wrong.',
+  },
   WL9001: {
     level: 'info',
     text: 'process started',
--- a/packages/core/src/shared/metrics.ts
+++ b/packages/core/src/shared/metrics.ts
@@ -40,4 +40,9 @@
     help: 'Routers believed alive, this one included.',
     labels: [],
   },
+  orphans_released_total: {
+    type: 'counter',
+    help: 'Releases of orphaned sessions sent, by reason.',
+    labels: ['reason'],
+  },
 } as const;
