--- a/packages/core/src/router/router_node.ts
+++ b/packages/core/src/router/router_node.ts
@@ -3,7 +3,11 @@
 import {createNoClaims} from '../claims/no_claims.js';
 import {createDrain} from '../drain/drain.js';
 import {createEndpointDirectory} from '../endpoints/endpoint_directory.js';
+import {createEndpointGossip} from '../endpoints/endpoint_gossip.js';
 import {createUnlimited} from '../limits/unlimited.js';
+import {createMembership} from '../membership/membership.js';
+import {createOrphans} from '../orphans/orphans.js';
+import {isSessionInUse} from '../orphans/is_session_in_use.js';
 import {FifoQueue} from '../queue/fifo_queue.js';
 import {createRequestTracker} from '../requests/request_tracker.js';
 import {createStrategy} from '../routing/create_strategy.js';
@@ -23,12 +27,18 @@
 export function createRouterNode(
   cfg: RouterConfig,
 ): DecisionNode<RouterEvent, RouterAction> {
-  const endpoints = createEndpointDirectory();
+  const endpointGossip = createEndpointGossip(cfg, () => endpoints);
+  const endpoints = createEndpointDirectory(endpointGossip);
   const queue = new FifoQueue();
   const limits = createUnlimited();
   const table = createTableFeature(ctx =>
-    endpoints.syncRows(ctx, table.fold.rowsOf('endpoint')),
+    endpoints.syncRows(ctx, table.fold.rowsOf('endpoint'), table.fold.next()),
   );
+  const members = createMembership({
+    cfg,
+    endpoints: endpointGossip,
+    tableNext: () => table.fold.next(),
+  });
   const tracker = createRequestTracker({
     cfg,
     queue,
@@ -80,11 +90,25 @@
     },
   };
 
+  const orphans = createOrphans({
+    members,
+    endpoints,
+    knows: (endpoint, session) =>
+      isSessionInUse(tracker.get(session.reqId), endpoint, session),
+  });
+
   function cutAll(ctx: RouterContext): void {
     for (const state of [...tracker.all()]) {
       tracker.abort(ctx, state.entry.reqId, 'failure', 'draining');
     }
   }
 
-  return runFeatures([table, createReadinessFeature(table, drain), requests]);
+  return runFeatures([
+    table,
+    createReadinessFeature(table, drain),
+    endpointGossip,
+    requests,
+    members,
+    orphans,
+  ]);
 }
--- a/packages/core/src/shared/metrics.ts
+++ b/packages/core/src/shared/metrics.ts
@@ -35,4 +35,14 @@
     help: 'Offset of the next table record expected.',
     labels: [],
   },
+  members_alive: {
+    type: 'gauge',
+    help: 'Routers believed alive, this one included.',
+    labels: [],
+  },
+  orphans_released_total: {
+    type: 'counter',
+    help: 'Releases of orphaned sessions sent, by reason.',
+    labels: ['reason'],
+  },
 } as const;
