--- a/packages/core/src/table/parse_table_record.ts
+++ b/packages/core/src/table/parse_table_record.ts
@@ -1,4 +1,5 @@
 import {Err, Ok, type Result} from '../shared/result.js';
+import type {SnapshotRecord} from './snapshot_record.js';
 import type {TableError} from './table_error.js';
 import type {TableRecord} from './table_record.js';
 
@@ -19,9 +20,7 @@
   if (value['type'] === 'edit' && isEdit(value)) {
     return Ok(value as unknown as TableRecord);
   }
-  if (value['type'] === 'snapshot' && isSnapshot(value)) {
-    return Ok(value as unknown as TableRecord);
-  }
+  if (isSnapshot(value)) return Ok(value);
   return Err('malformed_record');
 }
 
@@ -46,9 +45,12 @@
   return isObject(row) && key === `${row['type']}/${row['name']}`;
 }
 
-function isSnapshot(value: Record<string, unknown>): boolean {
+/** Whether a value has the structure of a snapshot. */
+export function isSnapshot(value: unknown): value is SnapshotRecord {
   return (
-    typeof value['next'] === 'number' &&
+    isObject(value) &&
+    value['type'] === 'snapshot' &&
+    Number.isSafeInteger(value['next']) &&
     Array.isArray(value['rows']) &&
     Array.isArray(value['verdicts'])
   );
--- a/packages/core/src/table/table_feature.ts
+++ b/packages/core/src/table/table_feature.ts
@@ -1,6 +1,7 @@
 import type {LogRead} from '../router/events/log_read.js';
 import type {RouterContext} from '../router/router_context.js';
 import type {RouterFeature} from '../router/router_feature.js';
+import {applyTableRead} from './apply_table_read.js';
 import {createTableFold, type TableFold} from './table_fold.js';
 
 /** The table of a router: follows the log and tells of changes. */
@@ -21,17 +22,18 @@
   function logRead(ctx: RouterContext, event: LogRead): void {
     if (event.stream !== 'table') return;
     const before = fold.next();
-    for (const record of event.records) {
-      const result = fold.apply(record);
-      if (!result.ok) {
-        ctx.emit({
-          kind: 'write_log',
-          event: 'WL2003',
-          fields: {stream: 'table', offset: record.offset, error: result.val},
-        });
-      }
+    const {position, ignored} = applyTableRead(fold, event);
+    for (const {offset, error} of ignored) {
+      ctx.emit({
+        kind: 'write_log',
+        event: 'WL2003',
+        fields: {stream: 'table', offset, error},
+      });
     }
-    if (fold.next() >= event.end && fold.rows().length > 0) loaded = true;
+    if (position === 'reread') {
+      ctx.emit({kind: 'tail', stream: 'table', from: fold.next()});
+    }
+    if (position === 'newest' && fold.rows().length > 0) loaded = true;
     if (fold.next() !== before) changed(ctx);
   }
 
--- a/packages/core/src/table/table_fold.ts
+++ b/packages/core/src/table/table_fold.ts
@@ -16,8 +16,13 @@
 export interface TableFold {
   /** Offset of the next record expected. */
   next(): number;
-  /** Applies a record; the verdict is undefined for all but first edits. */
+  /**
+   * Applies a record; the verdict is undefined for all but first edits. A
+   * record after a gap changes nothing.
+   */
   apply(record: LogRecord): Result<EditVerdict | undefined, TableError>;
+  /** Passes over offsets below `offset` that are known to hold no edit. */
+  skipTo(offset: number): void;
   /** Replaces the state if the snapshot is newer; answers whether it did. */
   restore(snapshot: SnapshotRecord): boolean;
   snapshot(): SnapshotRecord;
@@ -38,11 +43,8 @@
     record: LogRecord,
   ): Result<EditVerdict | undefined, TableError> {
     if (record.offset < next) return Ok(undefined);
-    const parsed = parseTableRecord(record.data);
-    if (parsed.ok && parsed.val.type === 'snapshot') {
-      restore(parsed.val);
-    }
     if (record.offset > next) return Err('gap');
+    const parsed = parseTableRecord(record.data);
     next = record.offset + 1;
     if (!parsed.ok) return Err(parsed.val);
     if (parsed.val.type === 'snapshot') return Ok(undefined);
@@ -97,6 +99,9 @@
   return {
     next: () => next,
     apply,
+    skipTo: offset => {
+      next = Math.max(next, offset);
+    },
     restore,
     snapshot: () => ({
       type: 'snapshot',
