--- a/packages/core/src/router/actions/set_ready.ts
+++ b/packages/core/src/router/actions/set_ready.ts
@@ -2,6 +2,6 @@
 export interface SetReady {
   kind: 'set_ready';
   ready: boolean;
-  /** Why not, for the person who reads the probe. */
+  /** Why not, or what is in doubt, for the person who reads the probe. */
   reason: string;
 }
--- a/packages/core/src/router/readiness_feature.ts
+++ b/packages/core/src/router/readiness_feature.ts
@@ -10,17 +10,21 @@
 ): RouterFeature {
   let announced: string | undefined;
 
-  function reason(): string {
+  function reason(ctx: RouterContext): string {
     if (drain.stage() !== 'running') return 'draining';
-    return table.loaded() ? '' : 'no table yet';
+    const doubt = table.doubt(ctx.nowMs);
+    if (!table.loaded()) return `no table yet${doubt && `: ${doubt}`}`;
+    return doubt && `table may not be the newest: ${doubt}`;
   }
 
   function announce(ctx: RouterContext): void {
-    const now = reason();
+    const now = reason(ctx);
     if (now === announced) return;
     announced = now;
-    ctx.emit({kind: 'set_ready', ready: now === '', reason: now});
-    ctx.emit({kind: 'write_log', event: 'WL9005', fields: {reason: now}});
+    const ready = drain.stage() === 'running' && table.loaded();
+    ctx.emit({kind: 'set_ready', ready, reason: now});
+    const fields = {ready, reason: now};
+    ctx.emit({kind: 'write_log', event: 'WL9005', fields});
   }
 
   return {handlers: {}, start: announce, settle: announce};
--- a/packages/core/src/router/router_config.ts
+++ b/packages/core/src/router/router_config.ts
@@ -16,4 +16,6 @@
   drainNoticeMs: number;
   /** Requests that may wait at once; more are refused. */
   maxWaiting: number;
+  /** Retention period of the `table` stream, in milliseconds. */
+  tableRetentionMs: number;
 }
--- a/packages/core/src/router/router_node.ts
+++ b/packages/core/src/router/router_node.ts
@@ -4,6 +4,7 @@
 import {createDrain} from '../drain/drain.js';
 import {createEndpointDirectory} from '../endpoints/endpoint_directory.js';
 import {createUnlimited} from '../limits/unlimited.js';
+import {createSingleMember} from '../membership/single_member.js';
 import {FifoQueue} from '../queue/fifo_queue.js';
 import {createRequestTracker} from '../requests/request_tracker.js';
 import {createStrategy} from '../routing/create_strategy.js';
@@ -26,9 +27,12 @@
   const endpoints = createEndpointDirectory();
   const queue = new FifoQueue();
   const limits = createUnlimited();
-  const table = createTableFeature(ctx =>
-    endpoints.syncRows(ctx, table.fold.rowsOf('endpoint')),
-  );
+  const members = createSingleMember(cfg.address, cfg.incarnation);
+  const table = createTableFeature({
+    members,
+    retentionMs: cfg.tableRetentionMs,
+    onChange: ctx => endpoints.syncRows(ctx, table.fold.rowsOf('endpoint')),
+  });
   const tracker = createRequestTracker({
     cfg,
     queue,
--- a/packages/core/src/shared/log_events.ts
+++ b/packages/core/src/shared/log_events.ts
@@ -40,6 +40,16 @@
     text: 'log record ignored',
     action: 'Find out who writes malformed records to the stream.',
   },
+  WL2004: {
+    level: 'info',
+    text: 'table snapshot appended',
+    action: 'None; shows the offset and by how much the append was late.',
+  },
+  WL2005: {
+    level: 'error',
+    text: 'log records passed out of retention before they were read',
+    action: 'If it persists, no snapshot or peer has the missing records.',
+  },
   WL5001: {
     level: 'info',
     text: 'endpoint changed state',
@@ -68,6 +78,6 @@
   WL9005: {
     level: 'info',
     text: 'readiness changed',
-    action: 'If not ready, the reason says why.',
+    action: 'The reason says why not, or what is in doubt.',
   },
 } as const;
--- a/packages/core/src/table/apply_table_read.ts
+++ b/packages/core/src/table/apply_table_read.ts
@@ -1,4 +1,5 @@
 import type {LogRead} from '../router/events/log_read.js';
+import type {LogRecord} from '../types/log_record.js';
 import {parseTableRecord} from './parse_table_record.js';
 import type {ReadPosition} from './read_position.js';
 import type {SnapshotRecord} from './snapshot_record.js';
@@ -20,16 +21,23 @@
   read: LogRead,
 ): TableReadResult {
   const snapshots = findSnapshots(read);
-  if (read.earliest > fold.next()) restoreUsable(fold, read, snapshots);
+  const restored =
+    read.earliest > fold.next() && restoreUsable(fold, read, snapshots);
+  const restoredTo = restored ? fold.next() : undefined;
+  const edits: LogRecord[] = [];
   const ignored: TableReadResult['ignored'] = [];
   for (const record of read.records) {
     if (record.offset > fold.next()) break;
+    if (record.offset < fold.next()) continue;
     const result = fold.apply(record);
+    if (result.ok && result.val) edits.push(record);
     if (!result.ok) ignored.push({offset: record.offset, error: result.val});
   }
   return {
     position: positionAfter(fold.next(), read),
     snapshotOffset: snapshots.at(-1)?.offset,
+    restoredTo,
+    edits,
     ignored,
   };
 }
@@ -51,11 +59,11 @@
   fold: TableFold,
   read: LogRead,
   snapshots: FoundSnapshot[],
-): void {
+): boolean {
   const usable = snapshots.findLast(
     ({snapshot}) => snapshot.next >= read.earliest,
   );
-  if (usable) fold.restore(usable.snapshot);
+  return usable !== undefined && fold.restore(usable.snapshot);
 }
 
 function positionAfter(next: number, read: LogRead): ReadPosition {
--- /dev/null
+++ b/packages/core/src/table/peer_offsets.ts
@@ -0,0 +1,40 @@
+/** An offset is forgotten after this time, since its peer may be gone. */
+const FORGET_AFTER_MS = 3_000;
+
+/** Table offsets that peers have told of. */
+export interface PeerOffsets {
+  heard(peer: string, next: number, nowMs: number): void;
+  /**
+   * The peer heard last of those above `next`, if there is one. A peer with a
+   * larger offset may have been cut off since.
+   */
+  ahead(next: number, nowMs: number): string | undefined;
+  /** Whether the peer has told its offset at `sinceMs` or later. */
+  heardSince(peer: string, sinceMs: number): boolean;
+}
+
+/** Creates an empty record of offsets. */
+export function createPeerOffsets(): PeerOffsets {
+  const offsets = new Map<string, {next: number; atMs: number}>();
+
+  function ahead(next: number, nowMs: number): string | undefined {
+    let newest: string | undefined;
+    let newestMs = -Infinity;
+    for (const [peer, offset] of offsets) {
+      if (offset.atMs + FORGET_AFTER_MS < nowMs) offsets.delete(peer);
+      else if (offset.next > next && offset.atMs >= newestMs) {
+        newest = peer;
+        newestMs = offset.atMs;
+      }
+    }
+    return newest;
+  }
+
+  return {
+    heard: (peer, next, nowMs) => {
+      offsets.set(peer, {next, atMs: nowMs});
+    },
+    ahead,
+    heardSince: (peer, sinceMs) => (offsets.get(peer)?.atMs ?? -1) >= sinceMs,
+  };
+}
--- /dev/null
+++ b/packages/core/src/table/peer_rotation.ts
@@ -0,0 +1,36 @@
+import type {RandomSource} from '../types/random_source.js';
+
+/** Chooses peers so that each is met once before any is met again. */
+export interface PeerRotation {
+  /** Up to `count` different peers out of those given. */
+  take(peers: string[], count: number, random: RandomSource): string[];
+}
+
+/** Creates a rotation; its order is random and changes with each round. */
+export function createPeerRotation(): PeerRotation {
+  let round: string[] = [];
+
+  function take(
+    peers: string[],
+    count: number,
+    random: RandomSource,
+  ): string[] {
+    const taken = new Set<string>();
+    const wanted = Math.min(count, peers.length);
+    while (taken.size < wanted) {
+      if (round.length === 0) round = shuffled(peers, random);
+      const peer = round.pop();
+      if (peer !== undefined && peers.includes(peer)) taken.add(peer);
+    }
+    return [...taken];
+  }
+
+  return {take};
+}
+
+function shuffled(items: string[], random: RandomSource): string[] {
+  return items
+    .map(item => ({item, order: random()}))
+    .sort((a, b) => a.order - b.order)
+    .map(({item}) => item);
+}
--- /dev/null
+++ b/packages/core/src/table/table_relay.ts
@@ -0,0 +1,90 @@
+import type {AliveMembers} from '../membership/alive_members.js';
+import type {PeerReceived} from '../router/events/peer_received.js';
+import type {PeerMessage} from '../router/messages/peer_message.js';
+import type {RouterContext} from '../router/router_context.js';
+import {createPeerOffsets, type PeerOffsets} from './peer_offsets.js';
+import {createPeerRotation} from './peer_rotation.js';
+import type {TableStore} from './table_store.js';
+
+/** Bounds how long a peer that missed an announcement stays behind. */
+const GOSSIP_INTERVAL_MS = 250;
+const GOSSIP_PEERS = 2;
+/** Peers told at once of a change; each passes it on in the same way. */
+const ANNOUNCE_PEERS = 3;
+/** Pause between pulls, so that several offers cause one transfer. */
+const PULL_INTERVAL_MS = 150;
+
+/** Passes the table between routers. */
+export interface TableRelay {
+  readonly offsets: PeerOffsets;
+  received(ctx: RouterContext, event: PeerReceived): void;
+  /** Tells some peers at once that the table has advanced. */
+  announce(ctx: RouterContext): void;
+  /** Asks peers for their offset. */
+  ask(ctx: RouterContext, peers: string[]): void;
+  /** Gossips and repeats pulls that are due. */
+  expire(ctx: RouterContext): void;
+}
+
+/** Creates the relay of a router. */
+export function createTableRelay(
+  members: AliveMembers,
+  store: TableStore,
+): TableRelay {
+  const offsets = createPeerOffsets();
+  const rotation = createPeerRotation();
+  let gossipAtMs = 0;
+  let pullAtMs = 0;
+
+  function received(ctx: RouterContext, event: PeerReceived): void {
+    const {from, message} = event;
+    if (message.kind === 'table_offset') {
+      offsets.heard(from, message.next, ctx.nowMs);
+      const next = store.fold.next();
+      if (message.next > next) pullIfDue(ctx, from);
+      if (message.ask || message.next < next) tell(ctx, from);
+    }
+    if (message.kind === 'table_pull') {
+      offsets.heard(from, message.next, ctx.nowMs);
+      if (message.next >= store.fold.next()) return;
+      send(ctx, from, store.missingFrom(message.next));
+    }
+    if (message.kind === 'table_records') store.applyRecords(message);
+    if (message.kind === 'table_state') store.applyState(message);
+  }
+
+  function pullIfDue(ctx: RouterContext, from: string): void {
+    if (ctx.nowMs < pullAtMs) return;
+    pullAtMs = ctx.nowMs + PULL_INTERVAL_MS;
+    send(ctx, from, {kind: 'table_pull', next: store.fold.next()});
+  }
+
+  function tell(ctx: RouterContext, to: string, ask = false): void {
+    send(ctx, to, {kind: 'table_offset', next: store.fold.next(), ask});
+  }
+
+  function tellSome(ctx: RouterContext, count: number): void {
+    const peers = members.alive().filter(peer => peer !== members.self);
+    for (const peer of rotation.take(peers, count, ctx.random)) tell(ctx, peer);
+  }
+
+  function expire(ctx: RouterContext): void {
+    if (ctx.nowMs < gossipAtMs) return;
+    gossipAtMs = ctx.nowMs + GOSSIP_INTERVAL_MS;
+    tellSome(ctx, GOSSIP_PEERS);
+    const ahead = offsets.ahead(store.fold.next(), ctx.nowMs);
+    if (ahead !== undefined) pullIfDue(ctx, ahead);
+  }
+
+  return {
+    offsets,
+    received,
+    announce: ctx => tellSome(ctx, ANNOUNCE_PEERS),
+    ask: (ctx, peers) => peers.forEach(peer => tell(ctx, peer, true)),
+    expire,
+  };
+}
+
+function send(ctx: RouterContext, to: string, message: PeerMessage): void {
+  ctx.emit({kind: 'send_peer', to, message});
+}
