--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -83,7 +83,7 @@
 
   function received(ctx: RouterContext, event: PeerReceived): void {
     const {from, fromIncarnation, message} = event;
-    if (message.kind === 'table_offset') return;
+    if (!('gossip' in message)) return;
     const current = exchange.read(ctx, from, fromIncarnation, message.gossip);
     switch (message.kind) {
       case 'probe':
--- a/packages/core/src/router/messages/peer_message.ts
+++ b/packages/core/src/router/messages/peer_message.ts
@@ -1,5 +1,9 @@
 import type {MembershipMessage} from './membership_message.js';
 import type {TableOffset} from './table_offset.js';
+import type {TablePull} from './table_pull.js';
+import type {TableRecords} from './table_records.js';
+import type {TableState} from './table_state.js';
 
 /** What routers say to each other; each is one-way. */
-export type PeerMessage = MembershipMessage | TableOffset;
+export type PeerMessage =
+  MembershipMessage | TableOffset | TablePull | TableRecords | TableState;
--- a/packages/core/src/router/router_node.ts
+++ b/packages/core/src/router/router_node.ts
@@ -31,14 +31,17 @@
   const endpoints = createEndpointDirectory(endpointGossip);
   const queue = new FifoQueue();
   const limits = createUnlimited();
-  const table = createTableFeature(ctx =>
-    endpoints.syncRows(ctx, table.fold.rowsOf('endpoint'), table.fold.next()),
-  );
   const members = createMembership({
     cfg,
     endpoints: endpointGossip,
     tableNext: () => table.fold.next(),
   });
+  const table = createTableFeature({
+    members,
+    retentionMs: cfg.tableRetentionMs,
+    onChange: ctx =>
+      endpoints.syncRows(ctx, table.fold.rowsOf('endpoint'), table.fold.next()),
+  });
   const tracker = createRequestTracker({
     cfg,
     queue,
--- a/packages/router/src/router_program.ts
+++ b/packages/router/src/router_program.ts
@@ -136,6 +136,8 @@
     idleTimeoutMs: cfg.timeouts.idle,
     drainNoticeMs: cfg.timeouts.drain_notice,
     maxWaiting: cfg.routing.max_waiting,
+    peers: cfg.peers.seeds,
+    tableRetentionMs: cfg.platform.log_retention,
   });
   const loop = runLoop<RouterEvent, RouterAction>({
     node,
--- a/packages/router/src/settings.ts
+++ b/packages/router/src/settings.ts
@@ -33,6 +33,11 @@
   },
   platform: {
     url: url({help: 'Address of the platform: log, VM list, weight store.'}),
+    log_retention: integer(60_000, 315_360_000_000, {
+      help: 'Time that the log keeps a record.',
+      unit: 'ms',
+      fallback: '86400000',
+    }),
   },
   routing: {
     strategy: choice(['expected_cost', 'round_robin', 'least_outstanding'], {
--- a/packages/runtime/src/program/program.ts
+++ b/packages/runtime/src/program/program.ts
@@ -10,8 +10,11 @@
   name: string;
   help: string;
   settings: D;
-  /** Starts the program; answers the addresses it listens on, by name. */
-  start(run: ProgramRun<D>): Promise<Record<string, string>>;
+  /**
+   * Starts the program; answers the addresses it listens on, by name, or
+   * nothing if it has already run to its end.
+   */
+  start(run: ProgramRun<D>): Promise<Record<string, string> | undefined>;
 }
 
 /** What a started program gets. */
--- a/packages/runtime/src/program/run_program.ts
+++ b/packages/runtime/src/program/run_program.ts
@@ -83,6 +83,7 @@
   try {
     const run = {cfg, logger, store, exit, onSignal};
     const addresses = await program.start(run);
+    if (!addresses) return;
     logger.write('WL9001', {version: VERSION, ...addresses});
   } catch (err) {
     const problem = err instanceof Error ? err.message : String(err);
--- a/packages/standins/src/load/load_program.ts
+++ b/packages/standins/src/load/load_program.ts
@@ -21,6 +21,7 @@
       process.stderr.write(`wl-load: ${(err as Error).message}\n`);
       run.exit(EXIT_USAGE);
     }
+    return undefined;
   },
 };
 
--- a/scripts/fleet/process.mjs
+++ b/scripts/fleet/process.mjs
@@ -5,6 +5,7 @@
 
 const START_TIMEOUT_MS = 15_000;
 const STARTED_EVENT = 'WL9001';
+const MAX_LINES_KEPT = 20_000;
 
 /** Writes an object of sections as INI text. */
 export function toIni(sections) {
@@ -32,18 +33,28 @@
     child.once('exit', (code, signal) => resolve({code, signal}));
   });
   child.stderr.pipe(log, {end: false});
-  const started = await firstStart(name, child, exited, log);
+  const lines = [];
+  const started = await firstStart(name, child, exited, line => {
+    log.write(`${line}\n`);
+    lines.push(line);
+    if (lines.length > MAX_LINES_KEPT) lines.shift();
+  });
   return {
     name,
     pid: child.pid,
     started,
     exited,
+    /** Fields of the newest log lines with an event number. */
+    logged: event =>
+      lines
+        .filter(line => line.includes(`"${event}"`))
+        .map(line => JSON.parse(line).context),
     kill: signal => child.kill(signal),
     running: () => child.exitCode === null && child.signalCode === null,
   };
 }
 
-function firstStart(name, child, exited, log) {
+function firstStart(name, child, exited, onLine) {
   return new Promise((resolve, reject) => {
     const timer = setTimeout(
       () => reject(new Error(`${name} did not start in time`)),
@@ -51,7 +62,7 @@
     );
     exited.then(() => reject(new Error(`${name} ended at start`)));
     createInterface({input: child.stdout}).on('line', line => {
-      log.write(`${line}\n`);
+      onLine(line);
       if (!line.includes(STARTED_EVENT)) return;
       clearTimeout(timer);
       resolve(JSON.parse(line).context);
