Decide table edits in the core: validation and tracking to a verdict

Cause: operators' edits need one place that checks a whole edit, sends it and follows it until the log has decided.

--- /dev/null
+++ b/packages/core/src/administration/find_conflicts.ts
@@ -0,0 +1,33 @@
+import type {RowChange} from '../table/row_change.js';
+import type {TableFold} from '../table/table_fold.js';
+import type {RowKey} from '../types/row_key.js';
+import type {EditConflict} from './edit_conflict.js';
+
+/** Rows whose version is not the one that the edit was based on. */
+export function staleKeys(
+  fold: TableFold,
+  bases: readonly Pick<RowChange, 'key' | 'base'>[],
+): RowKey[] {
+  return bases
+    .filter(({key, base}) => (fold.get(key)?.version ?? 0) !== base)
+    .map(({key}) => key);
+}
+
+/** Names the newest accepted edit below an offset for each of the rows. */
+export function findConflicts(
+  fold: TableFold,
+  keys: readonly RowKey[],
+  before: number,
+): EditConflict[] {
+  const accepted = fold
+    .verdicts()
+    .filter(verdict => verdict.accepted && verdict.offset < before);
+  return keys.map(key => {
+    const winner = accepted.findLast(verdict => verdict.keys.includes(key));
+    const version = fold.get(key)?.version ?? 0;
+    if (!winner) return {key, version, author: '', editId: ''};
+    const {author, editId, offset} = winner;
+    const removed = version === 0;
+    return {key, version: removed ? 0 : offset + 1, author, editId};
+  });
+}
--- /dev/null
+++ b/packages/core/src/administration/row_proposal.ts
@@ -0,0 +1,11 @@
+/** A row of an edit as its author wrote it, not checked yet. */
+export interface RowProposal {
+  type: string;
+  name: string;
+  /** Version that the author saw; undefined takes the current one. */
+  base: number | undefined;
+  /** Values by column, without `type` and `name`; null removes the row. */
+  values: Record<string, unknown> | null;
+  /** `text`: values are cell texts; `json`: they are JSON values. */
+  source: 'text' | 'json';
+}
--- a/packages/core/src/shared/log_events.ts
+++ b/packages/core/src/shared/log_events.ts
@@ -45,6 +45,21 @@
     text: 'endpoint changed state',
     action: 'Check the endpoint if it is not leaving on purpose.',
   },
+  WL7001: {
+    level: 'info',
+    text: 'table edit settled',
+    action: 'None; shows author, verdict and number of rows.',
+  },
+  WL7002: {
+    level: 'warn',
+    text: 'table edit still pending',
+    action: 'Check the platform log service; ask again with the edit id.',
+  },
+  WL7003: {
+    level: 'warn',
+    text: 'administration request refused',
+    action: 'If it repeats, find out who uses a wrong key or role.',
+  },
   WL9001: {
     level: 'info',
     text: 'process started',
--- a/packages/core/src/shared/metrics.ts
+++ b/packages/core/src/shared/metrics.ts
@@ -35,4 +35,14 @@
     help: 'Offset of the next table record expected.',
     labels: [],
   },
+  table_lag_records: {
+    type: 'gauge',
+    help: 'Table records on the log that the process has not read yet.',
+    labels: [],
+  },
+  edits_total: {
+    type: 'counter',
+    help: 'Table edits settled by this process, by state.',
+    labels: ['state'],
+  },
 } as const;
