Add wl-admin, the administration API

Cause: operators need to change the table and to start and stop endpoints over HTTP. Change: routes for table, rows, edits, history, endpoints and status, with bearer keys in three roles, ETags and stable error codes; the bearer hash moves from the router to the runtime; a log client in memory for tests.

--- /dev/null
+++ b/packages/admin/src/api/api_error_code.ts
@@ -0,0 +1,15 @@
+/** Stable machine-readable reason of a refused request. */
+export type ApiErrorCode =
+  | 'bad_request'
+  | 'body_too_large'
+  | 'conflict'
+  | 'edit_id_reused'
+  | 'invalid_edit'
+  | 'not_applied'
+  | 'not_authenticated'
+  | 'not_permitted'
+  | 'precondition_required'
+  | 'table_not_loaded'
+  | 'too_many_edits'
+  | 'unknown_edit'
+  | 'unknown_row';
--- /dev/null
+++ b/packages/admin/src/auth/permission.ts
@@ -0,0 +1,15 @@
+import type {OperatorRole} from './operator_role.js';
+
+/** What a route asks of whoever calls it. */
+export type Permission = 'read' | 'operate' | 'edit';
+
+const PERMISSIONS: Record<OperatorRole, readonly Permission[]> = {
+  reader: ['read'],
+  operator: ['read', 'operate'],
+  editor: ['read', 'operate', 'edit'],
+};
+
+/** Whether a role includes a permission. */
+export function permits(role: OperatorRole, permission: Permission): boolean {
+  return PERMISSIONS[role].includes(permission);
+}
--- a/packages/router/src/caller/caller_routes.ts
+++ b/packages/router/src/caller/caller_routes.ts
@@ -8,7 +8,7 @@
 import {prefixHashes} from '@wisterialadder/runtime/prompt/prefix_hashes.js';
 import {promptTokens} from '@wisterialadder/runtime/prompt/prompt_tokens.js';
 import {CHAT_BODY, promptText} from './chat_body.js';
-import {bearerKeyHash} from './caller_identity.js';
+import {bearerKeyHash} from '@wisterialadder/runtime/http/bearer_key_hash.js';
 import type {CallerReply} from './caller_reply.js';
 import {JsonReply} from './json_reply.js';
 import type {OpenRequests} from './open_requests.js';
