Add wlctl and pages generated from the definitions

Cause: operators need the table as CSV and JSON, and the pages of settings, log events and metrics must not drift from the code. Change: commands over the administration API with documented exit statuses, RFC 4180 reader and writer, one small list of programs for "settings check" and the settings page, and scripts/gen_docs.mjs with a test that compares pages and definitions. Exported CSV carries the row version in its own column, rowVersion, since models have a column named version.

--- /dev/null
+++ b/packages/cli/bin/wlctl.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import {main} from '../dist/main.js';
+
+await main();
--- /dev/null
+++ b/packages/cli/src/client/table_view.ts
@@ -0,0 +1,7 @@
+import type {VersionedRow} from '@wisterialadder/core/table/versioned_row.js';
+
+/** The table as the API shows it. */
+export interface TableView {
+  offset: number;
+  rows: VersionedRow[];
+}
--- /dev/null
+++ b/packages/cli/src/commands/command_context.ts
@@ -0,0 +1,10 @@
+import type {Result} from '@wisterialadder/core/shared/result.js';
+import type {AdminClient} from '../client/admin_client.js';
+import type {CliError} from '../cli_error.js';
+
+/** What a command may use. */
+export interface CommandContext {
+  /** Client of the API; an error if address or key are missing. */
+  client(): Result<AdminClient, CliError>;
+  newEditId(): string;
+}
--- /dev/null
+++ b/packages/cli/src/commands/table_remove.ts
@@ -0,0 +1,33 @@
+import {readTable} from '../client/read_table.js';
+import {planImport} from '../table_files/plan_import.js';
+import type {PlacedProposal} from '../table_files/placed_proposal.js';
+import type {Command} from './command.js';
+import {failure} from './command_result.js';
+import {submitChanges} from './submit_changes.js';
+
+/** Removes rows of one type. */
+export const TABLE_REMOVE: Command = {
+  usage: 'table remove <type> <...names>',
+  help: 'Remove rows; refused if traffic would be left without them',
+  options: [
+    {flag: '--id <id>', help: 'Edit id; repeating it repeats no change'},
+  ],
+  examples: ['table remove endpoint engine-3'],
+  run: async (ctx, {args: [type = ''], rest, text}) => {
+    const client = ctx.client();
+    if (!client.ok) return failure(client.val);
+    const table = await readTable(client.val);
+    if (!table.ok) return failure(table.val);
+    const removals = rest.map((name): PlacedProposal => ({
+      type,
+      name,
+      base: undefined,
+      values: null,
+      source: 'text',
+      place: 'command line',
+    }));
+    const plan = planImport(table.val.rows, {types: [], rows: removals}, false);
+    if (!plan.ok) return failure(...plan.val);
+    return submitChanges(client.val, text('id') ?? ctx.newEditId(), plan.val);
+  },
+};
--- /dev/null
+++ b/packages/cli/src/programs.ts
@@ -0,0 +1,9 @@
+import {ADMIN_SETTINGS} from '@wisterialadder/admin/settings.js';
+import {ROUTER_SETTINGS} from '@wisterialadder/router/settings.js';
+import type {ProgramSettings} from './program_settings.js';
+
+/** Every program with a settings file; the settings page lists them too. */
+export const PROGRAMS: ProgramSettings[] = [
+  {name: 'wl-router', settings: ROUTER_SETTINGS},
+  {name: 'wl-admin', settings: ADMIN_SETTINGS},
+];
--- /dev/null
+++ b/packages/cli/src/table_files/read_json_table.ts
@@ -0,0 +1,50 @@
+import {Err, Ok, type Result} from '@wisterialadder/core/shared/result.js';
+import {z} from 'zod';
+import type {CliError} from '../cli_error.js';
+import type {PlacedProposal} from './placed_proposal.js';
+import type {TableFiles} from './table_files.js';
+
+const TABLE_FILE = z.object({
+  rows: z.array(
+    z.object({
+      type: z.string(),
+      name: z.string(),
+      version: z.number().int().nonnegative().optional(),
+      values: z.record(z.string(), z.unknown()),
+    }),
+  ),
+});
+
+/** Reads the JSON that `wlctl table show --json` writes. */
+export function readJsonTable(
+  file: string,
+  content: string,
+): Result<TableFiles, CliError> {
+  let value: unknown;
+  try {
+    value = JSON.parse(content);
+  } catch (err) {
+    return fault(file, `is not JSON (${(err as Error).message})`);
+  }
+  const parsed = TABLE_FILE.safeParse(value);
+  if (!parsed.success) {
+    const [issue] = parsed.error.issues;
+    return fault(file, `${issue?.path.join('.') ?? ''}: ${issue?.message}`);
+  }
+  const rows = parsed.data.rows.map(
+    ({type, name, version, values}, index): PlacedProposal => ({
+      type,
+      name,
+      base: version,
+      values,
+      source: 'json',
+      place: `${file} row ${index + 1}`,
+    }),
+  );
+  return Ok({types: [...new Set(rows.map(({type}) => type))], rows});
+}
+
+function fault(where: string, what: string): Result<never, CliError> {
+  const hint = 'Use the form that "wlctl table show --json" writes.';
+  return Err({exit: 'invalid', what, where, hint});
+}
