--- a/packages/cli/src/output/text_format.ts
+++ b/packages/cli/src/output/text_format.ts
@@ -5,7 +5,7 @@
 export class TextFormat extends OutputFormat {
   override render({columns, rows, notes}: Report): string {
     const lines = rows.map(row => row.map(String));
-    if (lines.length > 0) lines.unshift(columns.map(c => c.toUpperCase()));
+    if (lines.length > 0) lines.unshift(columns);
     const widths = columns.map((_column, index) =>
       Math.max(0, ...lines.map(line => line[index]?.length ?? 0)),
     );
