Give each type of the administration a file of its own

Cause: several files of the new packages held two or three exported types. Change: types moved to files named after them; temporary folders of tests are removed at exit. No behaviour changes.

--- a/packages/admin/src/admin_service.ts
+++ b/packages/admin/src/admin_service.ts
@@ -9,18 +9,13 @@
   startHttpServer,
   type HttpServer,
 } from '@wisterialadder/runtime/http/http_server.js';
-import type {Readiness} from '@wisterialadder/runtime/http/readiness.js';
-import type {DisposableStore} from '@wisterialadder/runtime/lifecycle/disposable_store.js';
 import {logError} from '@wisterialadder/runtime/logging/log_error.js';
-import type {Logger} from '@wisterialadder/runtime/logging/logger.js';
 import {createEventSource} from '@wisterialadder/runtime/loop/event_source.js';
 import {runLoop} from '@wisterialadder/runtime/loop/run_loop.js';
 import {createSeededRandom} from '@wisterialadder/runtime/loop/seeded_random.js';
-import type {Metrics} from '@wisterialadder/runtime/metrics/create_metrics.js';
-import type {LogClient} from '@wisterialadder/runtime/platform/log_client.js';
 import {startLogTail} from '@wisterialadder/runtime/platform/log_tail.js';
-import type {SettingsOf} from '@wisterialadder/runtime/settings/settings_definition.js';
 import {fromPromise} from 'most';
+import type {AdminServiceParts} from './admin_service_parts.js';
 import {performAction, type ActionHandlers} from './action_handlers.js';
 import type {ApiContext} from './api/api_context.js';
 import {createEditGateway} from './api/edit_gateway.js';
@@ -28,22 +23,10 @@
 import {endpointRoutes} from './api/endpoint_routes.js';
 import {readRoutes} from './api/read_routes.js';
 import {createOperatorDirectory} from './auth/operator_directory.js';
-import type {ADMIN_SETTINGS} from './settings.js';
 import {probeRouters} from './status/probe_routers.js';
 
 const BYTES_PER_KB = 1_024;
 
-/** What the service is built from. */
-export interface AdminServiceParts {
-  cfg: SettingsOf<typeof ADMIN_SETTINGS>;
-  log: LogClient;
-  logger: Logger;
-  metrics: Metrics;
-  readiness: Readiness;
-  /** Owns everything that the service opens. */
-  store: DisposableStore;
-}
-
 /** Starts the event loop, the table's tail and the API. */
 export async function startAdminService(
   parts: AdminServiceParts,
--- a/packages/admin/src/api/edit_routes.ts
+++ b/packages/admin/src/api/edit_routes.ts
@@ -8,7 +8,8 @@
 import {EDIT_BODY, EDIT_ID, ROW_BODY} from './edit_body.js';
 import {replyEdit} from './edit_reply.js';
 import {versionOf} from './etag.js';
-import {guardedRoute, type GuardedRequest} from './guarded_route.js';
+import {guardedRoute} from './guarded_route.js';
+import type {GuardedRequest} from './guarded_request.js';
 import {readJson} from './read_json.js';
 import {sendError} from './send_error.js';
 
--- /dev/null
+++ b/packages/admin/src/api/guarded_request.ts
@@ -0,0 +1,10 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Operator} from '../auth/operator.js';
+
+/** A request whose caller is known and permitted. */
+export interface GuardedRequest {
+  req: IncomingMessage;
+  res: ServerResponse;
+  match: Record<string, string>;
+  operator: Operator;
+}
--- a/packages/admin/src/api/guarded_route.ts
+++ b/packages/admin/src/api/guarded_route.ts
@@ -1,19 +1,10 @@
-import type {IncomingMessage, ServerResponse} from 'node:http';
 import {bearerKeyHash} from '@wisterialadder/runtime/http/bearer_key_hash.js';
 import type {HttpRoute} from '@wisterialadder/runtime/http/http_route.js';
-import type {Operator} from '../auth/operator.js';
 import {permits, type Permission} from '../auth/permission.js';
+import type {GuardedRequest} from './guarded_request.js';
 import type {ApiContext} from './api_context.js';
 import {sendError} from './send_error.js';
 
-/** A request whose caller is known and permitted. */
-export interface GuardedRequest {
-  req: IncomingMessage;
-  res: ServerResponse;
-  match: Record<string, string>;
-  operator: Operator;
-}
-
 /** Builds a route that only callers with a permission reach. */
 export function guardedRoute(
   ctx: ApiContext,
--- a/packages/cli/src/mocks/table_folder.ts
+++ b/packages/cli/src/mocks/table_folder.ts
@@ -1,4 +1,4 @@
-import {mkdtempSync, writeFileSync} from 'node:fs';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 
@@ -21,9 +21,10 @@
   };
 }
 
-/** Writes files to a new temporary folder and returns its path. */
+/** Writes files to a folder that lasts as long as the process. */
 export function folderWith(files: Record<string, string>): string {
   const folder = mkdtempSync(join(tmpdir(), 'wlctl-'));
+  process.on('exit', () => rmSync(folder, {recursive: true, force: true}));
   for (const [name, content] of Object.entries(files)) {
     writeFileSync(join(folder, name), content);
   }
--- a/packages/cli/src/wlctl.ts
+++ b/packages/cli/src/wlctl.ts
@@ -1,10 +1,12 @@
 import {randomUUID} from 'node:crypto';
 import {Err, Ok, type Result} from '@wisterialadder/core/shared/result.js';
 import {cac, type CAC} from 'cac';
+import type {WlctlParts} from './wlctl_parts.js';
 import {formatCliError, type CliError} from './cli_error.js';
 import {createAdminClient, type AdminClient} from './client/admin_client.js';
 import {ALL_COMMANDS} from './commands/all_commands.js';
-import type {Command, CommandInput} from './commands/command.js';
+import type {Command} from './commands/command.js';
+import type {CommandInput} from './commands/command_input.js';
 import {wrongUsage, type CommandResult} from './commands/command_result.js';
 import {EXIT_CODES, EXIT_MEANINGS} from './exit_codes.js';
 import type {ExitReason} from './exit_reason.js';
@@ -13,15 +15,6 @@
 import {JsonFormat} from './output/json_format.js';
 import {TextFormat} from './output/text_format.js';
 
-/** What the process gives to a run. */
-export interface WlctlParts {
-  /** Words after the program name. */
-  words: string[];
-  env: Record<string, string | undefined>;
-  out(text: string): void;
-  err(text: string): void;
-}
-
 type Options = Record<string, unknown>;
 
 /** Runs one command line and returns the exit status. */
--- /dev/null
+++ b/packages/cli/src/wlctl_parts.ts
@@ -0,0 +1,8 @@
+/** What the process gives to a run. */
+export interface WlctlParts {
+  /** Words after the program name. */
+  words: string[];
+  env: Record<string, string | undefined>;
+  out(text: string): void;
+  err(text: string): void;
+}
--- a/packages/core/src/administration/check_row_values.ts
+++ b/packages/core/src/administration/check_row_values.ts
@@ -1,5 +1,5 @@
 import type {TableRow} from '../types/table_row.js';
-import type {RowFault} from './read_row.js';
+import type {RowFault} from './row_fault.js';
 
 /** Finds values of one row that contradict each other. */
 export function checkRowValues(row: TableRow): RowFault[] {
--- a/packages/core/src/administration/columns/number_column.ts
+++ b/packages/core/src/administration/columns/number_column.ts
@@ -1,13 +1,7 @@
 import {Err, Ok, type Result} from '../../shared/result.js';
+import type {NumberRange} from './number_range.js';
 import {Column} from './column.js';
 
-/** Range and kind of the numbers of a column. */
-export interface NumberRange {
-  min: number;
-  max: number;
-  whole: boolean;
-}
-
 /** Number within a range. */
 export class NumberColumn extends Column<number> {
   override readonly allowed: string;
--- a/packages/core/src/administration/open_edit.ts
+++ b/packages/core/src/administration/open_edit.ts
@@ -1,11 +1,5 @@
 import type {EditRecord} from '../table/edit_record.js';
-
-/** Someone who waits for the verdict of an edit. */
-export interface EditWaiter {
-  waiter: string;
-  /** Monotonic time at which the answer is "pending". */
-  untilMs: number;
-}
+import type {EditWaiter} from './edit_waiter.js';
 
 /** An edit without a verdict. */
 export interface OpenEdit {
--- a/packages/core/src/administration/read_row.ts
+++ b/packages/core/src/administration/read_row.ts
@@ -1,12 +1,9 @@
 import {Err, Ok, type Result} from '../shared/result.js';
 import type {TableRow} from '../types/table_row.js';
+import type {RowFault} from './row_fault.js';
 import {columnsOf, isRowType, ROW_TYPES} from './columns/row_type.js';
-import type {EditFault} from './edit_fault.js';
 import type {RowProposal} from './row_proposal.js';
 
-/** A fault of one row, before its place in the edit is known. */
-export type RowFault = Pick<EditFault, 'column' | 'code' | 'problem'>;
-
 /** Reads a proposal column by column; reports every fault. */
 export function readRow(proposal: RowProposal): Result<TableRow, RowFault[]> {
   const {type, source} = proposal;
--- a/packages/core/src/administration/table_fault.ts
+++ b/packages/core/src/administration/table_fault.ts
@@ -1,5 +1,5 @@
 import type {RowKey} from '../types/row_key.js';
-import type {FaultCode} from './edit_fault.js';
+import type {FaultCode} from './fault_code.js';
 
 /** Something that is wrong in a table as a whole. */
 export interface TableFault {
