--- /dev/null
+++ b/packages/core/src/administration/edit_status.ts
@@ -0,0 +1,14 @@
+import type {RowKey} from '../types/row_key.js';
+import type {EditState} from './edit_state.js';
+import type {EditConflict} from './edit_conflict.js';
+
+/** Answer to whoever asks about an edit. */
+export interface EditStatus {
+  editId: string;
+  state: EditState;
+  author: string;
+  keys: RowKey[];
+  /** New version of the edit's rows; 0 unless accepted. */
+  version: number;
+  conflicts: EditConflict[];
+}
--- a/packages/core/src/shared/metrics.ts
+++ b/packages/core/src/shared/metrics.ts
@@ -45,4 +45,14 @@
     help: 'Releases of orphaned sessions sent, by reason.',
     labels: ['reason'],
   },
+  table_lag_records: {
+    type: 'gauge',
+    help: 'Table records on the log that the process has not read yet.',
+    labels: [],
+  },
+  edits_total: {
+    type: 'counter',
+    help: 'Table edits settled by this process, by state.',
+    labels: ['state'],
+  },
 } as const;
