Decide non-idempotent requests by claims on the log

Cause: a router without claims refuses every non-idempotent request, and two routers cannot otherwise know that they hold the same idempotency key. Change: the key check, 16 partitions with a fold each, recorders that batch claims and outcomes and answer only from records read back, owners that resend with the same claim id, outcomes resent until receipted. A duplicate ends as outcome_unknown, not as rejected_not_run, since its key may have run. The drain waits up to 2 s for outcomes to be recorded.

--- /dev/null
+++ b/packages/core/src/claims/claim_entry.ts
@@ -0,0 +1,13 @@
+/** A claim as a partition's stream holds it. */
+export interface ClaimEntry {
+  type: 'claim';
+  /** Unique over all incarnations; the same when sent or appended again. */
+  claimId: string;
+  /** Customer and idempotency key, written `CUSTOMER/UUID`. */
+  key: string;
+  /** Peer address of the owner router. */
+  owner: string;
+  incarnation: number;
+  /** Time from the claim to the request's timeout, in milliseconds. */
+  timeoutMs: number;
+}
--- a/packages/core/src/claims/claims.ts
+++ b/packages/core/src/claims/claims.ts
@@ -12,4 +12,6 @@
   request(ctx: RouterContext, claim: ClaimRequest): void;
   /** Records how a request that was granted its claim has ended. */
   ended(ctx: RouterContext, reqId: string, outcome: Outcome): void;
+  /** Recent outcomes not recorded yet, for which a drain waits. */
+  unrecorded(ctx: RouterContext): number;
 }
--- /dev/null
+++ b/packages/core/src/claims/key_state.ts
@@ -0,0 +1,40 @@
+import type {ClaimVerdict} from './claim_verdict.js';
+
+/** Standing of one claim: `ended` claims were recorded as not run. */
+export type ClaimStanding = 'owner' | 'lost' | 'ended';
+
+/** The claim that owns a key. */
+export interface KeyOwner {
+  claimId: string;
+  /** Monotonic time of the reader, counted from when it read the claim. */
+  deadlineMs: number;
+  outcome: 'completed' | 'unknown' | undefined;
+}
+
+/** What the log says about one key. */
+export interface KeyState {
+  timeMs: number;
+  owner: KeyOwner | undefined;
+  /** Standing of each claim, fixed by its first occurrence in the log. */
+  standings: Map<string, ClaimStanding>;
+  /** Claims whose outcome has been read. */
+  reported: Set<string>;
+}
+
+/** State of a key of which nothing has been read. */
+export function createKeyState(timeMs: number): KeyState {
+  return {
+    timeMs,
+    owner: undefined,
+    standings: new Map(),
+    reported: new Set(),
+  };
+}
+
+/** Answer to a claim that does not own the key. */
+export function duplicateVerdict(state: KeyState, nowMs: number): ClaimVerdict {
+  const {owner} = state;
+  if (!owner) return 'released';
+  if (owner.outcome) return owner.outcome;
+  return nowMs >= owner.deadlineMs ? 'unknown' : 'in_progress';
+}
--- /dev/null
+++ b/packages/core/src/claims/partition_fold.ts
@@ -0,0 +1,136 @@
+import type {LogRead} from '../router/events/log_read.js';
+import type {LogRecord} from '../types/log_record.js';
+import type {ClaimEntry} from './claim_entry.js';
+import {claimKeyTimeMs} from './claim_key.js';
+import type {ClaimVerdict} from './claim_verdict.js';
+import {createKeyState, duplicateVerdict, type KeyState} from './key_state.js';
+import type {OutcomeEntry} from './outcome_entry.js';
+import {parseClaimBatch} from './parse_claim_batch.js';
+import {createVouchFloor} from './vouch_floor.js';
+
+/** What a read did to the fold. */
+export interface FoldRead {
+  /** Unread records had passed out of retention. */
+  trimmed: boolean;
+  /** Offsets of records that were ignored as malformed. */
+  malformed: number[];
+}
+
+/** The claims of one partition as the log's order defines them. */
+export interface PartitionFold {
+  /** Offset of the next record expected. */
+  next(): number;
+  read(event: LogRead, nowMs: number): FoldRead;
+  /** Verdict of a claim; undefined if it has not been read. */
+  verdict(claim: ClaimEntry, nowMs: number): ClaimVerdict | undefined;
+  /** Answer to a claim that need not be appended, since it cannot win. */
+  foregone(claim: ClaimEntry, nowMs: number): ClaimVerdict | undefined;
+  /** Whether an outcome has been read. */
+  recorded(outcome: OutcomeEntry): boolean;
+  /** Drops keys created at or before a time. */
+  prune(timeMs: number): void;
+}
+
+/** Creates a fold that expects the first record of the stream. */
+export function createPartitionFold(clockToleranceMs: number): PartitionFold {
+  const keys = new Map<string, KeyState>();
+  const floor = createVouchFloor(clockToleranceMs);
+  let next = 0;
+
+  function read(event: LogRead, nowMs: number): FoldRead {
+    const result: FoldRead = {trimmed: false, malformed: []};
+    if (event.earliest > next) skipTo(event.earliest, result);
+    for (const record of event.records) {
+      if (record.offset < next) continue;
+      if (record.offset > next) skipTo(record.offset, result);
+      next = record.offset + 1;
+      if (!apply(record, nowMs)) result.malformed.push(record.offset);
+    }
+    return result;
+  }
+
+  function skipTo(offset: number, result: FoldRead): void {
+    keys.clear();
+    next = offset;
+    floor.trimmed(offset);
+    result.trimmed = true;
+  }
+
+  function apply(record: LogRecord, nowMs: number): boolean {
+    const parsed = parseClaimBatch(record.data);
+    if (!parsed.ok) return false;
+    floor.batchRead(parsed.val.base, parsed.val.wallMs);
+    for (const entry of parsed.val.entries) {
+      if (entry.type === 'claim') applyClaim(entry, nowMs);
+      else applyOutcome(entry);
+    }
+    return true;
+  }
+
+  function applyClaim(claim: ClaimEntry, nowMs: number): void {
+    const state = stateOf(claim.key);
+    if (state.standings.has(claim.claimId)) return;
+    state.standings.set(claim.claimId, state.owner ? 'lost' : 'owner');
+    state.owner ??= {
+      claimId: claim.claimId,
+      deadlineMs: nowMs + claim.timeoutMs,
+      outcome: undefined,
+    };
+  }
+
+  function applyOutcome(entry: OutcomeEntry): void {
+    const state = stateOf(entry.key);
+    state.reported.add(entry.claimId);
+    const owner = state.owner?.claimId === entry.claimId ? state.owner : null;
+    if (entry.outcome !== 'not_run') {
+      if (owner) owner.outcome ??= entry.outcome;
+    } else if (!owner?.outcome) {
+      // Also taken before its claim, which may still be on its way.
+      state.standings.set(entry.claimId, 'ended');
+      if (owner) state.owner = undefined;
+    }
+  }
+
+  function stateOf(key: string): KeyState {
+    const known = keys.get(key);
+    if (known) return known;
+    const timeMs = claimKeyTimeMs(key) ?? 0;
+    const state = createKeyState(timeMs);
+    keys.set(key, state);
+    return state;
+  }
+
+  function verdict(claim: ClaimEntry, nowMs: number): ClaimVerdict | undefined {
+    const state = keys.get(claim.key);
+    const standing = state?.standings.get(claim.claimId);
+    if (!state || !standing) return undefined;
+    if (standing !== 'owner') return duplicateVerdict(state, nowMs);
+    return floor.covers(state.timeMs) ? 'granted' : 'expired';
+  }
+
+  function foregone(
+    claim: ClaimEntry,
+    nowMs: number,
+  ): ClaimVerdict | undefined {
+    const state = keys.get(claim.key);
+    if (state?.owner) return duplicateVerdict(state, nowMs);
+    const covered = floor.covers(claimKeyTimeMs(claim.key) ?? 0);
+    return covered ? undefined : 'expired';
+  }
+
+  function prune(timeMs: number): void {
+    floor.raise(timeMs);
+    for (const [key, state] of keys) {
+      if (state.timeMs <= timeMs) keys.delete(key);
+    }
+  }
+
+  return {
+    next: () => next,
+    read,
+    verdict,
+    foregone,
+    recorded: ({key, claimId}) => keys.get(key)?.reported.has(claimId) ?? false,
+    prune,
+  };
+}
--- /dev/null
+++ b/packages/core/src/claims/vouch_floor.test.ts
@@ -0,0 +1,31 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createVouchFloor} from './vouch_floor.js';
+
+const TOLERANCE_MS = 100;
+
+/** Batches read, as base and wall clock, after a start trimmed below 10. */
+const CASES: [string, [number, number][], number, boolean][] = [
+  ['nothing retained', [], 9_999, false],
+  ['a key within twice the tolerance', [[10, 1_000]], 1_200, false],
+  ['a newer key', [[10, 1_000]], 1_201, true],
+  ['a batch delayed from before the start', [[9, 1_000]], 9_999, false],
+  [
+    'a key older than the batch after a delayed one',
+    [
+      [9, 1_000],
+      [11, 2_000],
+    ],
+    1_500,
+    false,
+  ],
+];
+
+for (const [name, batches, keyTimeMs, covered] of CASES) {
+  test(`a reader vouches for no key that was trimmed: ${name}`, () => {
+    const floor = createVouchFloor(TOLERANCE_MS);
+    floor.trimmed(10);
+    for (const [base, wallMs] of batches) floor.batchRead(base, wallMs);
+    assert.equal(floor.covers(keyTimeMs), covered);
+  });
+}
--- a/packages/core/src/mocks/router_events.ts
+++ b/packages/core/src/mocks/router_events.ts
@@ -16,6 +16,8 @@
     idleTimeoutMs: 1_000,
     drainNoticeMs: 500,
     maxWaiting: 1_000,
+    keyMaxAgeMs: 600_000,
+    clockToleranceMs: 1_000,
     ...over,
   };
 }
--- a/packages/core/src/requests/decide_outcome.ts
+++ b/packages/core/src/requests/decide_outcome.ts
@@ -11,6 +11,8 @@
   code: OutcomeCode,
   retryAfterMs?: number,
 ): Outcome {
+  // "Not run" would invite the caller to repeat the work with a new key.
+  if (reason === 'duplicate') return {kind: 'outcome_unknown', code};
   const proof = history.notRunProof();
   if (proof) {
     const notRunCode = reason === 'timeout' ? 'queue_timeout' : code;
--- a/packages/core/src/router/router_config.ts
+++ b/packages/core/src/router/router_config.ts
@@ -16,4 +16,8 @@
   drainNoticeMs: number;
   /** Requests that may wait at once; more are refused. */
   maxWaiting: number;
+  /** Older idempotency keys are refused; less than the log's retention. */
+  keyMaxAgeMs: number;
+  /** Largest difference between any two wall clocks, in milliseconds. */
+  clockToleranceMs: number;
 }
--- a/packages/core/src/router/router_node.ts
+++ b/packages/core/src/router/router_node.ts
@@ -1,9 +1,11 @@
 import type {ClaimListener} from '../claims/claim_listener.js';
-import type {Claims} from '../claims/claims.js';
-import {createNoClaims} from '../claims/no_claims.js';
+import {createClaimsFeature} from '../claims/claims_feature.js';
+import {isDuplicateCode} from '../claims/refusal_code.js';
 import {createDrain} from '../drain/drain.js';
 import {createEndpointDirectory} from '../endpoints/endpoint_directory.js';
 import {createUnlimited} from '../limits/unlimited.js';
+import type {AliveMembers} from '../membership/alive_members.js';
+import {createSingleMember} from '../membership/single_member.js';
 import {FifoQueue} from '../queue/fifo_queue.js';
 import {createRequestTracker} from '../requests/request_tracker.js';
 import {createStrategy} from '../routing/create_strategy.js';
@@ -22,6 +24,7 @@
 /** A router's decisions: requests, table, endpoints and peers. */
 export function createRouterNode(
   cfg: RouterConfig,
+  members: AliveMembers = createSingleMember(cfg.address, cfg.incarnation),
 ): DecisionNode<RouterEvent, RouterAction> {
   const endpoints = createEndpointDirectory();
   const queue = new FifoQueue();
@@ -40,9 +43,12 @@
   });
   const claimListener: ClaimListener = {
     granted: (ctx, reqId) => tracker.claimGranted(ctx, reqId),
-    refused: (ctx, reqId, code) => tracker.abort(ctx, reqId, 'refused', code),
+    refused: (ctx, reqId, code) => {
+      const reason = isDuplicateCode(code) ? 'duplicate' : 'refused';
+      tracker.abort(ctx, reqId, reason, code);
+    },
   };
-  const claims: Claims = createNoClaims(claimListener);
+  const claims = createClaimsFeature(cfg, members, claimListener);
   const drain = createDrain({noticeMs: cfg.drainNoticeMs, cutAll});
   const strategy = createStrategy(cfg.strategy);
   const admit = createAdmission({
@@ -72,11 +78,11 @@
     },
     expire: ctx => {
       tracker.expire(ctx);
-      drain.advance(ctx, tracker.size());
+      drain.advance(ctx, tracker.size() + claims.unrecorded(ctx));
     },
     settle: ctx => {
       dispatch(ctx);
-      drain.advance(ctx, tracker.size());
+      drain.advance(ctx, tracker.size() + claims.unrecorded(ctx));
     },
   };
 
@@ -86,5 +92,10 @@
     }
   }
 
-  return runFeatures([table, createReadinessFeature(table, drain), requests]);
+  return runFeatures([
+    table,
+    createReadinessFeature(table, drain),
+    requests,
+    claims,
+  ]);
 }
--- a/packages/core/src/shared/log_events.ts
+++ b/packages/core/src/shared/log_events.ts
@@ -40,6 +40,21 @@
     text: 'log record ignored',
     action: 'Find out who writes malformed records to the stream.',
   },
+  WL3001: {
+    level: 'info',
+    text: 'claim decided',
+    action: 'None; shows the verdict, the sends it took and the wait.',
+  },
+  WL3002: {
+    level: 'warn',
+    text: 'claim outcome not recorded',
+    action: 'Check the platform log service; the key reads as unknown.',
+  },
+  WL3003: {
+    level: 'warn',
+    text: 'start of claims partition out of retention',
+    action: 'Check that retention is longer than the maximum key age.',
+  },
   WL5001: {
     level: 'info',
     text: 'endpoint changed state',
--- a/packages/core/src/shared/metrics.ts
+++ b/packages/core/src/shared/metrics.ts
@@ -30,6 +30,21 @@
     help: 'Age of the oldest waiting request in milliseconds, by class.',
     labels: ['class'],
   },
+  claims_total: {
+    type: 'counter',
+    help: 'Claims decided, by verdict.',
+    labels: ['verdict'],
+  },
+  claim_appends_total: {
+    type: 'counter',
+    help: 'Batches of claims and outcomes sent to the log.',
+    labels: [],
+  },
+  claim_wait_ms: {
+    type: 'histogram',
+    help: 'Milliseconds from claim to verdict.',
+    labels: [],
+  },
   table_offset: {
     type: 'gauge',
     help: 'Offset of the next table record expected.',
