--- a/packages/core/src/mocks/router_events.ts
+++ b/packages/core/src/mocks/router_events.ts
@@ -18,6 +18,8 @@
     drainNoticeMs: 500,
     maxWaiting: 1_000,
     tableRetentionMs: 60_000,
+    keyMaxAgeMs: 600_000,
+    clockToleranceMs: 1_000,
     ...over,
   };
 }
--- a/packages/core/src/router/messages/peer_message.ts
+++ b/packages/core/src/router/messages/peer_message.ts
@@ -1,4 +1,8 @@
+import type {ClaimDecision} from './claim_decision.js';
+import type {ClaimSubmission} from './claim_submission.js';
 import type {MembershipMessage} from './membership_message.js';
+import type {OutcomeReceipt} from './outcome_receipt.js';
+import type {OutcomeReport} from './outcome_report.js';
 import type {TableOffset} from './table_offset.js';
 import type {TablePull} from './table_pull.js';
 import type {TableRecords} from './table_records.js';
@@ -6,4 +10,12 @@
 
 /** What routers say to each other; each is one-way. */
 export type PeerMessage =
-  MembershipMessage | TableOffset | TablePull | TableRecords | TableState;
+  | ClaimDecision
+  | ClaimSubmission
+  | MembershipMessage
+  | OutcomeReceipt
+  | OutcomeReport
+  | TableOffset
+  | TablePull
+  | TableRecords
+  | TableState;
--- a/packages/core/src/router/router_config.ts
+++ b/packages/core/src/router/router_config.ts
@@ -20,4 +20,8 @@
   maxWaiting: number;
   /** Retention period of the `table` stream, in milliseconds. */
   tableRetentionMs: number;
+  /** Older idempotency keys are refused; less than the log's retention. */
+  keyMaxAgeMs: number;
+  /** Largest difference between any two wall clocks, in milliseconds. */
+  clockToleranceMs: number;
 }
--- a/packages/core/src/router/router_node.ts
+++ b/packages/core/src/router/router_node.ts
@@ -1,6 +1,6 @@
 import type {ClaimListener} from '../claims/claim_listener.js';
-import type {Claims} from '../claims/claims.js';
-import {createNoClaims} from '../claims/no_claims.js';
+import {createClaimsFeature} from '../claims/claims_feature.js';
+import {isDuplicateCode} from '../claims/refusal_code.js';
 import {createDrain} from '../drain/drain.js';
 import {createEndpointDirectory} from '../endpoints/endpoint_directory.js';
 import {createEndpointGossip} from '../endpoints/endpoint_gossip.js';
@@ -8,6 +8,7 @@
 import {createMembership} from '../membership/membership.js';
 import {createOrphans} from '../orphans/orphans.js';
 import {isSessionInUse} from '../orphans/is_session_in_use.js';
+import type {AliveMembers} from '../membership/alive_members.js';
 import {FifoQueue} from '../queue/fifo_queue.js';
 import {createRequestTracker} from '../requests/request_tracker.js';
 import {createStrategy} from '../routing/create_strategy.js';
@@ -23,19 +24,24 @@
 import {createReadinessFeature} from './readiness_feature.js';
 import {runFeatures} from './run_features.js';
 
-/** A router's decisions: requests, table, endpoints and peers. */
+/**
+ * A router's decisions: requests, table, endpoints and peers. `otherMembers`
+ * replaces the router's own view of the membership, for tests.
+ */
 export function createRouterNode(
   cfg: RouterConfig,
+  otherMembers?: AliveMembers,
 ): DecisionNode<RouterEvent, RouterAction> {
   const endpointGossip = createEndpointGossip(cfg, () => endpoints);
   const endpoints = createEndpointDirectory(endpointGossip);
   const queue = new FifoQueue();
   const limits = createUnlimited();
-  const members = createMembership({
+  const membership = createMembership({
     cfg,
     endpoints: endpointGossip,
     tableNext: () => table.fold.next(),
   });
+  const members = otherMembers ?? membership;
   const table = createTableFeature({
     members,
     retentionMs: cfg.tableRetentionMs,
@@ -53,9 +59,12 @@
   });
   const claimListener: ClaimListener = {
     granted: (ctx, reqId) => tracker.claimGranted(ctx, reqId),
-    refused: (ctx, reqId, code) => tracker.abort(ctx, reqId, 'refused', code),
+    refused: (ctx, reqId, code) => {
+      const reason = isDuplicateCode(code) ? 'duplicate' : 'refused';
+      tracker.abort(ctx, reqId, reason, code);
+    },
   };
-  const claims: Claims = createNoClaims(claimListener);
+  const claims = createClaimsFeature(cfg, members, claimListener);
   const drain = createDrain({noticeMs: cfg.drainNoticeMs, cutAll});
   const strategy = createStrategy(cfg.strategy);
   const admit = createAdmission({
@@ -85,16 +94,16 @@
     },
     expire: ctx => {
       tracker.expire(ctx);
-      drain.advance(ctx, tracker.size());
+      drain.advance(ctx, tracker.size() + claims.unrecorded(ctx));
     },
     settle: ctx => {
       dispatch(ctx);
-      drain.advance(ctx, tracker.size());
+      drain.advance(ctx, tracker.size() + claims.unrecorded(ctx));
     },
   };
 
   const orphans = createOrphans({
-    members,
+    members: membership,
     endpoints,
     knows: (endpoint, session) =>
       isSessionInUse(tracker.get(session.reqId), endpoint, session),
@@ -111,7 +120,8 @@
     createReadinessFeature(table, drain),
     endpointGossip,
     requests,
-    members,
+    claims,
+    membership,
     orphans,
   ]);
 }
--- a/packages/router/src/caller/outcome_status.ts
+++ b/packages/router/src/caller/outcome_status.ts
@@ -10,15 +10,19 @@
   unknown_customer: 401,
   unknown_class: 404,
   unknown_service: 404,
-  claim_owned_in_progress: 409,
-  claim_already_done: 409,
-  claim_outcome_unknown: 409,
   prompt_too_long: 413,
   limit_concurrency: 429,
   limit_requests: 429,
   limit_tokens: 429,
 };
 
+/** Another request with the same idempotency key owns the work. */
+const DUPLICATE_CODES: ReadonlySet<OutcomeCode> = new Set<OutcomeCode>([
+  'claim_owned_in_progress',
+  'claim_already_done',
+  'claim_outcome_unknown',
+]);
+
 const UNAVAILABLE = 503;
 
 /** HTTP status of an outcome. */
@@ -31,7 +35,7 @@
     case 'failed':
       return 502;
     case 'outcome_unknown':
-      return 500;
+      return DUPLICATE_CODES.has(outcome.code) ? 409 : 500;
     case 'timed_out':
       return 504;
   }
--- a/packages/router/src/router_program.ts
+++ b/packages/router/src/router_program.ts
@@ -138,6 +138,8 @@
     maxWaiting: cfg.routing.max_waiting,
     peers: cfg.peers.seeds,
     tableRetentionMs: cfg.platform.log_retention,
+    keyMaxAgeMs: cfg.claims.key_max_age,
+    clockToleranceMs: cfg.claims.clock_tolerance,
   });
   const loop = runLoop<RouterEvent, RouterAction>({
     node,
--- a/packages/router/src/settings.ts
+++ b/packages/router/src/settings.ts
@@ -54,6 +54,18 @@
       fallback: '0',
     }),
   },
+  claims: {
+    key_max_age: integer(60_000, 315_360_000_000, {
+      help: 'Older idempotency keys are refused; less than log_retention.',
+      unit: 'ms',
+      fallback: '43200000',
+    }),
+    clock_tolerance: integer(0, 3_600_000, {
+      help: 'Largest difference between the wall clocks of callers and VMs.',
+      unit: 'ms',
+      fallback: '60000',
+    }),
+  },
   timeouts: {
     first_token: integer(100, 3_600_000, {
       help: 'Silence of an endpoint before the first part of an answer.',
