Test the table on random schedules with a virtual clock

Cause: races of edits, lost answers, outages, cuts, restarts and trimming were covered by single examples only.

--- /dev/null
+++ b/packages/core/src/mocks/table_checks.ts
@@ -0,0 +1,119 @@
+import assert from 'node:assert/strict';
+import {parseTableRecord} from '../table/parse_table_record.js';
+import {createTableFold} from '../table/table_fold.js';
+import type {VirtualTableFleet} from './virtual_table_fleet.js';
+import type {VirtualTableNode} from './virtual_table_node.js';
+
+const IN_FORCE_WITHIN_MS = 3_000;
+
+/** Judges a fleet after each step of a schedule. */
+export interface TableChecks {
+  /** Links, the log or the set of processes have changed. */
+  connectivityChanged(): void;
+  check(): void;
+}
+
+interface Moment {
+  atMs: number;
+  /** Offset that each node held. */
+  held: Map<string, number>;
+  logEnd: number;
+}
+
+/** Creates the checks of a fleet without records. */
+export function createTableChecks(fleet: VirtualTableFleet): TableChecks {
+  const oracle = createTableFold();
+  const states = [JSON.stringify(oracle.snapshot())];
+  const progress = new Map<VirtualTableNode, number>();
+  const loaded = new Set<VirtualTableNode>();
+  let history: Moment[] = [];
+  let stableSinceMs = fleet.nowMs();
+
+  function check(): void {
+    for (const {offset, data} of fleet.log.retained(fleet.nowMs())) {
+      if (offset < oracle.next()) continue;
+      oracle.apply({offset, data});
+      states.push(JSON.stringify(oracle.snapshot()));
+    }
+    const nodes = fleet.addresses.map(address => fleet.node(address));
+    for (const node of nodes) {
+      checkState(node);
+      checkLoaded(node);
+    }
+    remember(nodes);
+    checkInForce(nodes);
+  }
+
+  function checkState(node: VirtualTableNode): void {
+    const next = node.table.fold.next();
+    const before = progress.get(node) ?? 0;
+    assert.ok(next >= before, `${node.address} went from ${before} to ${next}`);
+    if (next === before) return;
+    progress.set(node, next);
+    const state = JSON.stringify(node.table.fold.snapshot());
+    assert.equal(state, states[next], `${node.address} at ${next}`);
+  }
+
+  /** A new node serves no table older than one it could learn of. */
+  function checkLoaded(node: VirtualTableNode): void {
+    if (!node.table.loaded() || loaded.has(node)) return;
+    loaded.add(node);
+    assert.ok(node.table.fold.rows().length > 0, 'loaded without a row');
+    if (stableSinceMs > node.startedMs) return;
+    const start = history.findLast(moment => moment.atMs <= node.startedMs);
+    for (const [address, held] of start?.held ?? []) {
+      if (!fleet.network.linked(node.address, address)) continue;
+      const next = node.table.fold.next();
+      assert.ok(next >= held, `${node.address} serves ${next}, not ${held}`);
+    }
+  }
+
+  function remember(nodes: VirtualTableNode[]): void {
+    const atMs = fleet.nowMs();
+    const held = new Map(
+      nodes.map(node => [node.address, node.table.fold.next()]),
+    );
+    history.push({atMs, held, logEnd: fleet.log.end()});
+    history = history.filter(
+      moment => moment.atMs >= atMs - IN_FORCE_WITHIN_MS,
+    );
+  }
+
+  /** What a group of linked nodes could learn 3 s ago is in force in it. */
+  function checkInForce(nodes: VirtualTableNode[]): void {
+    const sinceMs = fleet.nowMs() - IN_FORCE_WITHIN_MS;
+    const past = history[0];
+    if (!past || past.atMs > sinceMs || past.atMs <= stableSinceMs) return;
+    for (const node of nodes) {
+      const next = node.table.fold.next();
+      const due = learnable(node, past);
+      assert.ok(next >= due, `${node.address} holds ${next}, not ${due}`);
+    }
+  }
+
+  function learnable(node: VirtualTableNode, past: Moment): number {
+    const group = fleet.network.component(node.address, fleet.addresses);
+    const best = Math.max(...group.map(peer => past.held.get(peer) ?? 0));
+    const reads = group.some(peer => fleet.network.linked(peer, 'log'));
+    return reads && logContinues(best) ? past.logEnd : best;
+  }
+
+  /** Whether the log still leads from a held offset to its end. */
+  function logContinues(held: number): boolean {
+    const nowMs = fleet.nowMs();
+    const earliest = fleet.log.earliest(nowMs);
+    if (held >= earliest) return true;
+    return fleet.log.retained(nowMs).some(({data}) => {
+      const record = parseTableRecord(data);
+      if (!record.ok || record.val.type !== 'snapshot') return false;
+      return record.val.next >= earliest;
+    });
+  }
+
+  return {
+    connectivityChanged: () => {
+      stableSinceMs = fleet.nowMs();
+    },
+    check,
+  };
+}
