Share customers' limits over all routers

Cause: limits were not enforced. Change: createSharedLimits replaces createUnlimited behind CustomerLimits. The messages are limit_demand and limit_share.

--- /dev/null
+++ b/packages/core/src/limits/allocator_key.ts
@@ -0,0 +1,4 @@
+/** Rendezvous key that chooses the allocator of a customer. */
+export function allocatorKey(customer: string): string {
+  return `limit/${customer}`;
+}
--- /dev/null
+++ b/packages/core/src/limits/customer_usage.ts
@@ -0,0 +1,121 @@
+import {Err, Ok, type Result} from '../shared/result.js';
+import {createDemandMeter} from './demand_meter.js';
+import type {DemandEntry} from './demand_entry.js';
+import type {LimitAmounts} from './limit_amounts.js';
+import type {LimitRefusal} from './limit_refusal.js';
+import {SHARE_LIFETIME_MS} from './share_lifetime.js';
+import {BURST_S, createTokenBucket, type TokenBucket} from './token_bucket.js';
+
+/** Advice after which a share that follows the demand has arrived. */
+const SHARE_WAIT_MS = 250;
+const MAX_RETRY_AFTER_MS = 30_000;
+/** A customer without demand for this time asks for no more shares. */
+const IDLE_MS = 10_000;
+
+/** Use of one customer's limit by this router. */
+export interface CustomerUsage {
+  /** `fallback` applies where no share is held. */
+  admit(
+    nowMs: number,
+    limits: LimitAmounts,
+    fallback: LimitAmounts,
+    tokens: number,
+  ): Result<void, LimitRefusal>;
+  release(): void;
+  /** Takes over a share unless a newer one is held. */
+  grant(askedMs: number, share: LimitAmounts): void;
+  /** Amounts that apply now. */
+  amounts(nowMs: number, fallback: LimitAmounts): LimitAmounts;
+  demand(nowMs: number, customer: string): DemandEntry;
+  /** Whether shares are still of use. */
+  active(nowMs: number): boolean;
+  /** Refills; answers whether nothing remains to be remembered. */
+  settled(nowMs: number, fallback: LimitAmounts): boolean;
+}
+
+/** Creates the use of a customer that has none yet. */
+export function createCustomerUsage(
+  nowMs: number,
+  fallback: LimitAmounts,
+): CustomerUsage {
+  const requests = createTokenBucket(nowMs, fallback.requests);
+  const tokens = createTokenBucket(nowMs, fallback.tokens);
+  const meter = createDemandMeter(nowMs);
+  let held: {askedMs: number; share: LimitAmounts} | undefined;
+  let inFlight = 0;
+  let lastDemandMs = nowMs;
+
+  function amounts(nowMs: number, fallback: LimitAmounts): LimitAmounts {
+    if (held && nowMs >= held.askedMs + SHARE_LIFETIME_MS) held = undefined;
+    return held?.share ?? fallback;
+  }
+
+  function refill(nowMs: number, fallback: LimitAmounts): LimitAmounts {
+    const current = amounts(nowMs, fallback);
+    requests.refill(nowMs, current.requests);
+    tokens.refill(nowMs, current.tokens);
+    return current;
+  }
+
+  function admit(
+    nowMs: number,
+    limits: LimitAmounts,
+    fallback: LimitAmounts,
+    cost: number,
+  ): Result<void, LimitRefusal> {
+    lastDemandMs = nowMs;
+    meter.add(nowMs, cost, inFlight + 1);
+    const current = refill(nowMs, fallback);
+    if (limits.concurrency > 0 && inFlight >= current.concurrency) {
+      return Err({code: 'limit_concurrency', retryAfterMs: SHARE_WAIT_MS});
+    }
+    if (limits.requests > 0 && requests.level() <= 0) {
+      const retryAfterMs = waitMs(requests.level(), current.requests);
+      return Err({code: 'limit_requests', retryAfterMs});
+    }
+    if (limits.tokens > 0 && tokens.level() <= 0) {
+      const retryAfterMs = waitMs(tokens.level(), current.tokens);
+      return Err({code: 'limit_tokens', retryAfterMs});
+    }
+    if (limits.requests > 0) requests.take(1);
+    if (limits.tokens > 0) tokens.take(cost);
+    inFlight += 1;
+    return Ok(undefined);
+  }
+
+  function settled(nowMs: number, fallback: LimitAmounts): boolean {
+    if (inFlight > 0 || nowMs < lastDemandMs + IDLE_MS) return false;
+    const current = refill(nowMs, fallback);
+    // A debt is remembered, or idling would cancel it.
+    return isFull(requests, current.requests) && isFull(tokens, current.tokens);
+  }
+
+  return {
+    admit,
+    release: () => {
+      inFlight = Math.max(0, inFlight - 1);
+    },
+    grant: (askedMs, share) => {
+      if (held && askedMs <= held.askedMs) return;
+      held = {askedMs, share};
+    },
+    amounts,
+    demand: (nowMs, customer) => ({
+      customer,
+      wanted: meter.wanted(nowMs, inFlight),
+      inFlight,
+      heldMs: held?.askedMs ?? -1,
+    }),
+    active: nowMs => inFlight > 0 || nowMs < lastDemandMs + IDLE_MS,
+    settled,
+  };
+}
+
+function isFull(bucket: TokenBucket, rate: number): boolean {
+  return rate === 0 || bucket.level() >= rate * BURST_S;
+}
+
+function waitMs(level: number, rate: number): number {
+  const ms = rate > 0 ? Math.ceil((-level / rate) * 1_000) : SHARE_WAIT_MS;
+  return Math.min(MAX_RETRY_AFTER_MS, Math.max(SHARE_WAIT_MS, ms));
+}
--- /dev/null
+++ b/packages/core/src/limits/share_entry.ts
@@ -0,0 +1,7 @@
+import type {LimitAmounts} from './limit_amounts.js';
+
+/** Part of a customer's limit that one router may use. */
+export interface ShareEntry {
+  customer: string;
+  share: LimitAmounts;
+}
--- /dev/null
+++ b/packages/core/src/limits/shared_limits.ts
@@ -0,0 +1,158 @@
+import type {AliveMembers} from '../membership/alive_members.js';
+import type {PeerReceived} from '../router/events/peer_received.js';
+import type {LimitShare} from '../router/messages/limit_share.js';
+import type {RouterContext} from '../router/router_context.js';
+import type {RouterFeature} from '../router/router_feature.js';
+import {Ok, type Result} from '../shared/result.js';
+import type {CustomerRow} from '../types/customer_row.js';
+import {createAllocatorRole} from './allocator_role.js';
+import type {CustomerLimits} from './customer_limits.js';
+import {createCustomerUsage, type CustomerUsage} from './customer_usage.js';
+import {fallbackShare} from './fallback_share.js';
+import {limitsOf, type LimitAmounts} from './limit_amounts.js';
+import type {LimitRefusal} from './limit_refusal.js';
+import {createShareAllocator} from './share_allocator.js';
+
+const ASK_INTERVAL_MS = 1_000;
+/** Pause between demands of a customer that is refused. */
+const URGENT_ASK_MS = 200;
+
+/** Limits that all routers share by allocators. */
+export interface SharedLimits extends CustomerLimits, RouterFeature {
+  /** What this router may use of a customer's limits now. */
+  amounts(nowMs: number, customer: CustomerRow): LimitAmounts;
+}
+
+/** What the limits need of their router. */
+export interface SharedLimitsParts {
+  members: AliveMembers;
+  incarnation: number;
+  /** Number of routers that share the limits. */
+  fleetSize: number;
+  /** Row of a customer; undefined if the table has none. */
+  customer(name: string): CustomerRow | undefined;
+}
+
+/** Creates limits without any use. */
+export function createSharedLimits(parts: SharedLimitsParts): SharedLimits {
+  const {members, incarnation, fleetSize} = parts;
+  const {self} = members;
+  const role = createAllocatorRole(members);
+  const usages = new Map<string, CustomerUsage>();
+  const askAtMs = new Map<string, number>();
+  const allocator = createShareAllocator({self, role, fleetSize, limits});
+  let askAllAtMs = 0;
+
+  function limits(name: string): LimitAmounts | undefined {
+    const row = parts.customer(name);
+    return row && limitsOf(row);
+  }
+
+  function fallback(limits: LimitAmounts | undefined): LimitAmounts {
+    const none = {requests: 0, tokens: 0, concurrency: 0};
+    return fallbackShare(limits ?? none, fleetSize);
+  }
+
+  function admit(
+    ctx: RouterContext,
+    customer: CustomerRow,
+    tokens: number,
+  ): Result<void, LimitRefusal> {
+    const total = limitsOf(customer);
+    if (total.requests + total.tokens + total.concurrency === 0) {
+      return Ok(undefined);
+    }
+    const {name} = customer;
+    const own = fallback(total);
+    const usage = usages.get(name) ?? createCustomerUsage(ctx.nowMs, own);
+    const isNew = !usages.has(name);
+    usages.set(name, usage);
+    const result = usage.admit(ctx.nowMs, total, own, tokens);
+    if (isNew || !result.ok) askUrgently(ctx, name);
+    if (!result.ok) {
+      ctx.emit({
+        kind: 'observe',
+        metric: 'limit_refusals_total',
+        labels: {customer: name, code: result.val.code},
+        value: 1,
+      });
+    }
+    return result;
+  }
+
+  function askUrgently(ctx: RouterContext, name: string): void {
+    if (ctx.nowMs < (askAtMs.get(name) ?? 0)) return;
+    ask(ctx, role.allocator(name), [name]);
+  }
+
+  function ask(ctx: RouterContext, to: string, names: string[]): void {
+    for (const name of names) askAtMs.set(name, ctx.nowMs + URGENT_ASK_MS);
+    const askedMs = ctx.nowMs;
+    const entries = names
+      .filter(name => usages.has(name))
+      .map(name => usages.get(name)!.demand(askedMs, name));
+    const demand = {
+      kind: 'limit_demand',
+      incarnation,
+      askedMs,
+      entries,
+    } as const;
+    if (to !== self) {
+      ctx.emit({kind: 'send_peer', to, message: demand});
+      return;
+    }
+    const shares = allocator.grant(askedMs, self, demand);
+    take({kind: 'limit_share', incarnation, askedMs, entries: shares});
+  }
+
+  function take(message: LimitShare): void {
+    if (message.incarnation !== incarnation) return;
+    for (const {customer, share} of message.entries) {
+      usages.get(customer)?.grant(message.askedMs, share);
+    }
+  }
+
+  function received(ctx: RouterContext, {from, message}: PeerReceived): void {
+    if (message.kind === 'limit_share') take(message);
+    if (message.kind !== 'limit_demand') return;
+    const entries = allocator.grant(ctx.nowMs, from, message);
+    if (entries.length === 0) return;
+    const {incarnation, askedMs} = message;
+    const answer: LimitShare = {
+      kind: 'limit_share',
+      incarnation,
+      askedMs,
+      entries,
+    };
+    ctx.emit({kind: 'send_peer', to: from, message: answer});
+  }
+
+  function expire(ctx: RouterContext): void {
+    if (ctx.nowMs < askAllAtMs) return;
+    askAllAtMs = ctx.nowMs + ASK_INTERVAL_MS;
+    role.observe(ctx.nowMs);
+    allocator.expire(ctx.nowMs);
+    const byAllocator = new Map<string, string[]>();
+    for (const [name, usage] of usages) {
+      if (usage.settled(ctx.nowMs, fallback(limits(name)))) {
+        usages.delete(name);
+        askAtMs.delete(name);
+      } else if (usage.active(ctx.nowMs)) {
+        const to = role.allocator(name);
+        byAllocator.set(to, [...(byAllocator.get(to) ?? []), name]);
+      }
+    }
+    for (const [to, names] of byAllocator) ask(ctx, to, names);
+  }
+
+  return {
+    admit,
+    release: (_ctx, customer) => usages.get(customer)?.release(),
+    amounts: (nowMs, customer) => {
+      const own = fallback(limitsOf(customer));
+      return usages.get(customer.name)?.amounts(nowMs, own) ?? own;
+    },
+    handlers: {peer_received: received},
+    expire,
+  };
+}
--- /dev/null
+++ b/packages/core/src/limits/token_bucket.ts
@@ -0,0 +1,31 @@
+/** Use that may be saved up, in seconds of the rate. */
+export const BURST_S = 1;
+
+/**
+ * A bucket that may go into debt: a cost is taken whole as soon as the level
+ * is above 0, since a long prompt can cost more than any share holds.
+ */
+export interface TokenBucket {
+  /** Refills since the last call at the rate, in units a second. */
+  refill(nowMs: number, rate: number): void;
+  level(): number;
+  take(cost: number): void;
+}
+
+/** Creates a bucket that is full at the rate. */
+export function createTokenBucket(nowMs: number, rate: number): TokenBucket {
+  let level = rate * BURST_S;
+  let refilledMs = nowMs;
+
+  return {
+    refill: (nowMs, rate) => {
+      level += ((nowMs - refilledMs) / 1_000) * rate;
+      level = Math.min(level, rate * BURST_S);
+      refilledMs = nowMs;
+    },
+    level: () => level,
+    take: cost => {
+      level -= cost;
+    },
+  };
+}
--- a/packages/core/src/mocks/router_events.ts
+++ b/packages/core/src/mocks/router_events.ts
@@ -16,6 +16,7 @@
     idleTimeoutMs: 1_000,
     drainNoticeMs: 500,
     maxWaiting: 1_000,
+    fleetSize: 1,
     tableRetentionMs: 60_000,
     ...over,
   };
--- a/packages/core/src/router/router_config.ts
+++ b/packages/core/src/router/router_config.ts
@@ -16,6 +16,8 @@
   drainNoticeMs: number;
   /** Requests that may wait at once; more are refused. */
   maxWaiting: number;
+  /** Number of routers that share the limits of customers. */
+  fleetSize: number;
   /** Retention period of the `table` stream, in milliseconds. */
   tableRetentionMs: number;
 }
--- a/packages/core/src/router/router_node.test.ts
+++ b/packages/core/src/router/router_node.test.ts
@@ -96,3 +96,16 @@
   });
   assert.ok(last.some(action => action.kind === 'exit' && action.code === 0));
 });
+
+test('a request over the limit is refused until one has ended', () => {
+  const router = createStepHarness(createRouterNode(routerConfig()));
+  const rows = [classRow(), customerRow({maxConcurrent: 1}), endpointRow()];
+  router.step(tableRead(rows));
+  router.step(requestArrived());
+  const second = requestArrived({reqId: 'req-2'});
+  const refused = outcome(router.step(second));
+  assert.equal(refused?.kind, 'rejected_not_run');
+  assert.equal(refused?.code, 'limit_concurrency');
+  router.step({kind: 'request_cancelled', reqId: 'req-1'});
+  assert.equal(started(router.step(second))?.reqId, 'req-2');
+});
--- a/packages/core/src/router/router_node.ts
+++ b/packages/core/src/router/router_node.ts
@@ -3,7 +3,7 @@
 import {createNoClaims} from '../claims/no_claims.js';
 import {createDrain} from '../drain/drain.js';
 import {createEndpointDirectory} from '../endpoints/endpoint_directory.js';
-import {createUnlimited} from '../limits/unlimited.js';
+import {createSharedLimits} from '../limits/shared_limits.js';
 import {createSingleMember} from '../membership/single_member.js';
 import {FifoQueue} from '../queue/fifo_queue.js';
 import {createRequestTracker} from '../requests/request_tracker.js';
@@ -26,13 +26,21 @@
 ): DecisionNode<RouterEvent, RouterAction> {
   const endpoints = createEndpointDirectory();
   const queue = new FifoQueue();
-  const limits = createUnlimited();
   const members = createSingleMember(cfg.address, cfg.incarnation);
   const table = createTableFeature({
     members,
     retentionMs: cfg.tableRetentionMs,
     onChange: ctx => endpoints.syncRows(ctx, table.fold.rowsOf('endpoint')),
   });
+  const limits = createSharedLimits({
+    members,
+    incarnation: cfg.incarnation,
+    fleetSize: cfg.fleetSize,
+    customer: name => {
+      const row = table.fold.get(`customer/${name}`)?.row;
+      return row?.type === 'customer' ? row : undefined;
+    },
+  });
   const tracker = createRequestTracker({
     cfg,
     queue,
@@ -90,5 +98,10 @@
     }
   }
 
-  return runFeatures([table, createReadinessFeature(table, drain), requests]);
+  return runFeatures([
+    table,
+    createReadinessFeature(table, drain),
+    limits,
+    requests,
+  ]);
 }
--- a/packages/core/src/shared/metrics.ts
+++ b/packages/core/src/shared/metrics.ts
@@ -30,6 +30,11 @@
     help: 'Age of the oldest waiting request in milliseconds, by class.',
     labels: ['class'],
   },
+  limit_refusals_total: {
+    type: 'counter',
+    help: 'Requests refused by a limit, by customer and code.',
+    labels: ['customer', 'code'],
+  },
   table_offset: {
     type: 'gauge',
     help: 'Offset of the next table record expected.',
