Bound the cost of limit shares in a large fleet

Change: sums are kept up to date instead of being recomputed for each demand, the allocator of a customer is cached until the members change, and the answer says when to ask again (10 ms for each router, 1 s to 4 s). An allocator grants the fallback while most members are new, and a first share is not below the fallback.

--- a/packages/core/src/limits/allocator_role.test.ts
+++ b/packages/core/src/limits/allocator_role.test.ts
@@ -57,6 +57,15 @@
     established: false,
     members: 1,
   },
+  {
+    guards: 'a member that came back alone may not divide for all',
+    views: [
+      [[SELF], 9_000],
+      [[SELF, 'x', 'y'], 4_999],
+    ],
+    established: false,
+    members: 1,
+  },
   {
     guards: 'a member that is back may hold shares of another allocator',
     views: [
--- a/packages/core/src/limits/allocator_role.ts
+++ b/packages/core/src/limits/allocator_role.ts
@@ -15,8 +15,9 @@
   /** Address of the allocator of a customer. */
   allocator(customer: string): string;
   /**
-   * Whether every live share of the customer was granted by this process:
-   * it has been the allocator for a whole share lifetime.
+   * Whether demand may be followed: this process has been the allocator of
+   * the customer for a whole share lifetime, so that it has granted every live
+   * share, and most members have been alive for that time.
    */
   established(customer: string, nowMs: number): boolean;
 }
@@ -24,7 +25,9 @@
 /** Creates the role of a process that starts now. */
 export function createAllocatorRole(members: AliveMembers): AllocatorRole {
   let startedMs: number | undefined;
-  let current: string[] = members.alive();
+  let current: string[] = [...members.alive()];
+  /** Allocators of customers among the current members. */
+  const allocators = new Map<string, string>();
   let past: {members: string[]; untilMs: number}[] = [];
 
   function observe(nowMs: number): void {
@@ -34,11 +37,25 @@
     if (sameMembers(alive, current)) return;
     past.push({members: current, untilMs: nowMs});
     current = [...alive];
+    allocators.clear();
+  }
+
+  function allocator(customer: string): string {
+    const known = allocators.get(customer);
+    if (known !== undefined) return known;
+    const first = rendezvousFirst(allocatorKey(customer), current);
+    allocators.set(customer, first ?? members.self);
+    return first ?? members.self;
+  }
+
+  function fewestAlive(): number {
+    return Math.min(current.length, ...past.map(view => view.members.length));
   }
 
   function established(customer: string, nowMs: number): boolean {
     if (startedMs === undefined) return false;
     if (nowMs < startedMs + SHARE_LIFETIME_MS) return false;
+    if (fewestAlive() < current.length / 2) return false;
     const key = allocatorKey(customer);
     return past.every(
       view => rendezvousFirst(key, view.members) === members.self,
@@ -47,10 +64,8 @@
 
   return {
     observe,
-    members: () =>
-      Math.min(current.length, ...past.map(view => view.members.length)),
-    allocator: customer =>
-      rendezvousFirst(allocatorKey(customer), current) ?? members.self,
+    members: fewestAlive,
+    allocator,
     established,
   };
 }
--- a/packages/core/src/limits/customer_usage.ts
+++ b/packages/core/src/limits/customer_usage.ts
@@ -3,6 +3,7 @@
 import type {DemandEntry} from './demand_entry.js';
 import type {LimitAmounts} from './limit_amounts.js';
 import type {LimitRefusal} from './limit_refusal.js';
+import type {ShareEntry} from './share_entry.js';
 import {SHARE_LIFETIME_MS} from './share_lifetime.js';
 import {BURST_S, createTokenBucket, type TokenBucket} from './token_bucket.js';
 
@@ -10,7 +11,7 @@
 const SHARE_WAIT_MS = 250;
 const MAX_RETRY_AFTER_MS = 30_000;
 /** A customer without demand for this time asks for no more shares. */
-const IDLE_MS = 10_000;
+const IDLE_MS = 5_000;
 
 /** Use of one customer's limit by this router. */
 export interface CustomerUsage {
@@ -23,12 +24,12 @@
   ): Result<void, LimitRefusal>;
   release(): void;
   /** Takes over a share unless a newer one is held. */
-  grant(askedMs: number, share: LimitAmounts): void;
+  grant(askedMs: number, entry: ShareEntry): void;
   /** Amounts that apply now. */
   amounts(nowMs: number, fallback: LimitAmounts): LimitAmounts;
   demand(nowMs: number, customer: string): DemandEntry;
-  /** Whether shares are still of use. */
-  active(nowMs: number): boolean;
+  /** Whether a new share is of use and due. */
+  shareDue(nowMs: number): boolean;
   /** Refills; answers whether nothing remains to be remembered. */
   settled(nowMs: number, fallback: LimitAmounts): boolean;
 }
@@ -41,13 +42,13 @@
   const requests = createTokenBucket(nowMs, fallback.requests);
   const tokens = createTokenBucket(nowMs, fallback.tokens);
   const meter = createDemandMeter(nowMs);
-  let held: {askedMs: number; share: LimitAmounts} | undefined;
+  let held: {askedMs: number; entry: ShareEntry} | undefined;
   let inFlight = 0;
   let lastDemandMs = nowMs;
 
   function amounts(nowMs: number, fallback: LimitAmounts): LimitAmounts {
     if (held && nowMs >= held.askedMs + SHARE_LIFETIME_MS) held = undefined;
-    return held?.share ?? fallback;
+    return held?.entry.share ?? fallback;
   }
 
   function refill(nowMs: number, fallback: LimitAmounts): LimitAmounts {
@@ -83,6 +84,11 @@
     return Ok(undefined);
   }
 
+  function shareDue(nowMs: number): boolean {
+    if (inFlight === 0 && nowMs >= lastDemandMs + IDLE_MS) return false;
+    return !held || nowMs >= held.askedMs + held.entry.askAfterMs;
+  }
+
   function settled(nowMs: number, fallback: LimitAmounts): boolean {
     if (inFlight > 0 || nowMs < lastDemandMs + IDLE_MS) return false;
     const current = refill(nowMs, fallback);
@@ -95,9 +101,9 @@
     release: () => {
       inFlight = Math.max(0, inFlight - 1);
     },
-    grant: (askedMs, share) => {
+    grant: (askedMs, entry) => {
       if (held && askedMs <= held.askedMs) return;
-      held = {askedMs, share};
+      held = {askedMs, entry};
     },
     amounts,
     demand: (nowMs, customer) => ({
@@ -106,7 +112,7 @@
       inFlight,
       heldMs: held?.askedMs ?? -1,
     }),
-    active: nowMs => inFlight > 0 || nowMs < lastDemandMs + IDLE_MS,
+    shareDue,
     settled,
   };
 }
--- a/packages/core/src/limits/share_allocator.ts
+++ b/packages/core/src/limits/share_allocator.ts
@@ -1,16 +1,27 @@
 import type {LimitDemand} from '../router/messages/limit_demand.js';
+import {
+  dropExpired,
+  newAllocation,
+  noteDemand,
+  recount,
+  type Allocation,
+} from './allocation.js';
 import type {AllocatorRole} from './allocator_role.js';
 import type {DemandEntry} from './demand_entry.js';
 import {fallbackShare} from './fallback_share.js';
 import type {LimitAmounts} from './limit_amounts.js';
-import {LIMIT_KINDS, type LimitKind} from './limit_kind.js';
+import {LIMIT_KINDS} from './limit_kind.js';
 import {planShares} from './plan_shares.js';
-import type {RouterGrant} from './router_grant.js';
 import type {ShareEntry} from './share_entry.js';
 import {SHARE_LIFETIME_MS} from './share_lifetime.js';
 
 /** A division is used this long, since each costs time for every router. */
-const PLAN_MS = 100;
+const PLAN_MS = 250;
+/** Bounds the answers for one customer to 100 a second. */
+const ASK_AFTER_MS_PER_ROUTER = 10;
+const MIN_ASK_AFTER_MS = 1_000;
+/** Leaves time to repeat a lost demand before the share expires. */
+const MAX_ASK_AFTER_MS = 4_000;
 
 /** Grants shares of the customers that this router allocates. */
 export interface ShareAllocator {
@@ -29,12 +40,6 @@
   limits(customer: string): LimitAmounts | undefined;
 }
 
-interface Allocation {
-  grants: Map<string, RouterGrant>;
-  targets: Map<string, LimitAmounts>;
-  plannedMs: number;
-}
-
 /** Creates an allocator without grants. */
 export function createShareAllocator(
   parts: ShareAllocatorParts,
@@ -50,28 +55,44 @@
     return demand.entries.flatMap(entry => {
       const {customer} = entry;
       const limits = parts.limits(customer);
-      if (!limits || role.allocator(customer) !== self) {
-        allocations.delete(customer);
-        return [];
-      }
+      if (!limits || role.allocator(customer) !== self) return [];
       const allocation = allocations.get(customer) ?? newAllocation();
       allocations.set(customer, allocation);
       const grant = noteDemand(allocation, router, demand, entry);
-      const pool = poolOf(limits);
-      plan(nowMs, customer, limits, pool, allocation, router);
-      const target = allocation.targets.get(router)!;
-      const share = {...target};
-      for (const kind of LIMIT_KINDS) {
-        const free = pool[kind] - usedByOthers(allocation, router, kind);
-        share[kind] = Math.max(0, Math.min(target[kind], free));
-      }
+      const share = role.established(customer, nowMs)
+        ? establishedShare(nowMs, entry, limits, allocation, router)
+        : fallbackShare(limits, fleetSize);
       const {incarnation, askedMs} = demand;
       const expiresMs = nowMs + SHARE_LIFETIME_MS;
       grant.issued.push({share, incarnation, askedMs, expiresMs});
-      return [{customer, share}];
+      recount(allocation, grant);
+      return [{customer, share, askAfterMs: askAfterMs(allocation)}];
     });
   }
 
+  function establishedShare(
+    nowMs: number,
+    {customer}: DemandEntry,
+    limits: LimitAmounts,
+    allocation: Allocation,
+    router: string,
+  ): LimitAmounts {
+    const {issued, held} = allocation.grants.get(router)!;
+    const pool = poolOf(limits);
+    const fallback = fallbackShare(limits, fleetSize);
+    plan(nowMs, customer, pool, fallback, allocation, router);
+    const target = allocation.targets.get(router)!;
+    const share = {...target};
+    for (const kind of LIMIT_KINDS) {
+      const free = pool[kind] - (allocation.used[kind] - held[kind]);
+      // A first share is not below the fallback that it replaces, until the
+      // other routers have given up what is wanted here.
+      const least = issued.length === 0 ? fallback[kind] : 0;
+      share[kind] = roundDown(Math.min(target[kind], Math.max(free, least)));
+    }
+    return share;
+  }
+
   /**
    * Members out of reach may use their fallback, so what the others may use
    * shrinks with the number of members alive.
@@ -88,67 +109,39 @@
   function plan(
     nowMs: number,
     customer: string,
-    limits: LimitAmounts,
     pool: LimitAmounts,
+    fallback: LimitAmounts,
     allocation: Allocation,
     router: string,
   ): void {
     const fresh = nowMs < allocation.plannedMs + PLAN_MS;
     if (fresh && allocation.targets.has(router)) return;
     allocation.plannedMs = nowMs;
-    const fallback = fallbackShare(limits, fleetSize);
-    const routers = [...allocation.grants.keys()];
-    allocation.targets = role.established(customer, nowMs)
-      ? planShares(nowMs, customer, pool, fallback, allocation.grants)
-      : new Map(routers.map(name => [name, fallback]));
+    allocation.targets = planShares(
+      nowMs,
+      customer,
+      pool,
+      fallback,
+      allocation.grants,
+    );
   }
 
   function expire(nowMs: number): void {
-    for (const [customer, {grants, targets}] of allocations) {
-      for (const [router, grant] of grants) {
-        grant.issued = grant.issued.filter(share => share.expiresMs > nowMs);
-        if (grant.issued.length > 0) continue;
-        grants.delete(router);
-        targets.delete(router);
-      }
-      if (grants.size === 0) allocations.delete(customer);
+    for (const [customer, allocation] of allocations) {
+      dropExpired(allocation, nowMs);
+      if (allocation.grants.size === 0) allocations.delete(customer);
     }
   }
 
   return {grant, expire};
 }
 
-function newAllocation(): Allocation {
-  return {grants: new Map(), targets: new Map(), plannedMs: -Infinity};
+function askAfterMs({grants}: Allocation): number {
+  const wanted = grants.size * ASK_AFTER_MS_PER_ROUTER;
+  return Math.min(MAX_ASK_AFTER_MS, Math.max(MIN_ASK_AFTER_MS, wanted));
 }
 
-function noteDemand(
-  {grants}: Allocation,
-  router: string,
-  {incarnation}: LimitDemand,
-  demand: DemandEntry,
-): RouterGrant {
-  const issued = (grants.get(router)?.issued ?? []).filter(
-    share =>
-      share.incarnation !== incarnation || share.askedMs >= demand.heldMs,
-  );
-  const grant = {demand, issued};
-  grants.set(router, grant);
-  return grant;
-}
-
-/** What routers other than `router` may use until their shares expire. */
-function usedByOthers(
-  {grants}: Allocation,
-  router: string,
-  kind: LimitKind,
-): number {
-  let sum = 0;
-  for (const [name, {demand, issued}] of grants) {
-    if (name === router) continue;
-    // Requests in flight are not interrupted when a share shrinks.
-    const least = kind === 'concurrency' ? demand.inFlight : 0;
-    sum += Math.max(least, ...issued.map(({share}) => share[kind]));
-  }
-  return sum;
+/** Three decimals, which keeps messages short. */
+function roundDown(amount: number): number {
+  return Math.max(0, Math.floor(amount * 1_000) / 1_000);
 }
--- a/packages/core/src/limits/share_entry.ts
+++ b/packages/core/src/limits/share_entry.ts
@@ -4,4 +4,6 @@
 export interface ShareEntry {
   customer: string;
   share: LimitAmounts;
+  /** Time from the demand after which the router asks again. */
+  askAfterMs: number;
 }
--- a/packages/core/src/limits/shared_limits.ts
+++ b/packages/core/src/limits/shared_limits.ts
@@ -13,9 +13,9 @@
 import type {LimitRefusal} from './limit_refusal.js';
 import {createShareAllocator} from './share_allocator.js';
 
-const ASK_INTERVAL_MS = 1_000;
-/** Pause between demands of a customer that is refused. */
-const URGENT_ASK_MS = 200;
+const CHECK_INTERVAL_MS = 100;
+/** Pause before a demand that was not answered is repeated. */
+const REPEAT_MS = 250;
 
 /** Limits that all routers share by allocators. */
 export interface SharedLimits extends CustomerLimits, RouterFeature {
@@ -39,9 +39,9 @@
   const {self} = members;
   const role = createAllocatorRole(members);
   const usages = new Map<string, CustomerUsage>();
-  const askAtMs = new Map<string, number>();
+  const askedAtMs = new Map<string, number>();
   const allocator = createShareAllocator({self, role, fleetSize, limits});
-  let askAllAtMs = 0;
+  let checkAtMs = 0;
 
   function limits(name: string): LimitAmounts | undefined {
     const row = parts.customer(name);
@@ -65,10 +65,9 @@
     const {name} = customer;
     const own = fallback(total);
     const usage = usages.get(name) ?? createCustomerUsage(ctx.nowMs, own);
-    const isNew = !usages.has(name);
     usages.set(name, usage);
     const result = usage.admit(ctx.nowMs, total, own, tokens);
-    if (isNew || !result.ok) askUrgently(ctx, name);
+    if (isDue(ctx, name, usage)) ask(ctx, role.allocator(name), [name]);
     if (!result.ok) {
       ctx.emit({
         kind: 'observe',
@@ -80,14 +79,19 @@
     return result;
   }
 
-  function askUrgently(ctx: RouterContext, name: string): void {
-    if (ctx.nowMs < (askAtMs.get(name) ?? 0)) return;
-    ask(ctx, role.allocator(name), [name]);
+  function isDue(
+    ctx: RouterContext,
+    name: string,
+    usage: CustomerUsage,
+  ): boolean {
+    const askedMs = askedAtMs.get(name) ?? -Infinity;
+    return ctx.nowMs >= askedMs + REPEAT_MS && usage.shareDue(ctx.nowMs);
   }
 
   function ask(ctx: RouterContext, to: string, names: string[]): void {
-    for (const name of names) askAtMs.set(name, ctx.nowMs + URGENT_ASK_MS);
-    const askedMs = ctx.nowMs;
+    for (const name of names) askedAtMs.set(name, ctx.nowMs);
+    // Rounded down, so that the share does not outlive the allocator's count.
+    const askedMs = Math.floor(ctx.nowMs);
     const entries = names
       .filter(name => usages.has(name))
       .map(name => usages.get(name)!.demand(askedMs, name));
@@ -101,14 +105,14 @@
       ctx.emit({kind: 'send_peer', to, message: demand});
       return;
     }
-    const shares = allocator.grant(askedMs, self, demand);
+    const shares = allocator.grant(ctx.nowMs, self, demand);
     take({kind: 'limit_share', incarnation, askedMs, entries: shares});
   }
 
   function take(message: LimitShare): void {
     if (message.incarnation !== incarnation) return;
-    for (const {customer, share} of message.entries) {
-      usages.get(customer)?.grant(message.askedMs, share);
+    for (const entry of message.entries) {
+      usages.get(entry.customer)?.grant(message.askedMs, entry);
     }
   }
 
@@ -128,16 +132,16 @@
   }
 
   function expire(ctx: RouterContext): void {
-    if (ctx.nowMs < askAllAtMs) return;
-    askAllAtMs = ctx.nowMs + ASK_INTERVAL_MS;
+    if (ctx.nowMs < checkAtMs) return;
+    checkAtMs = ctx.nowMs + CHECK_INTERVAL_MS;
     role.observe(ctx.nowMs);
     allocator.expire(ctx.nowMs);
     const byAllocator = new Map<string, string[]>();
     for (const [name, usage] of usages) {
       if (usage.settled(ctx.nowMs, fallback(limits(name)))) {
         usages.delete(name);
-        askAtMs.delete(name);
-      } else if (usage.active(ctx.nowMs)) {
+        askedAtMs.delete(name);
+      } else if (isDue(ctx, name, usage)) {
         const to = role.allocator(name);
         byAllocator.set(to, [...(byAllocator.get(to) ?? []), name]);
       }
