--- a/packages/core/src/router/messages/peer_message.ts
+++ b/packages/core/src/router/messages/peer_message.ts
@@ -1,5 +1,7 @@
 import type {ClaimDecision} from './claim_decision.js';
 import type {ClaimSubmission} from './claim_submission.js';
+import type {LimitDemand} from './limit_demand.js';
+import type {LimitShare} from './limit_share.js';
 import type {MembershipMessage} from './membership_message.js';
 import type {OutcomeReceipt} from './outcome_receipt.js';
 import type {OutcomeReport} from './outcome_report.js';
@@ -12,6 +14,8 @@
 export type PeerMessage =
   | ClaimDecision
   | ClaimSubmission
+  | LimitDemand
+  | LimitShare
   | MembershipMessage
   | OutcomeReceipt
   | OutcomeReport
--- a/packages/core/src/router/router_node.ts
+++ b/packages/core/src/router/router_node.ts
@@ -4,11 +4,11 @@
 import {createDrain} from '../drain/drain.js';
 import {createEndpointDirectory} from '../endpoints/endpoint_directory.js';
 import {createEndpointGossip} from '../endpoints/endpoint_gossip.js';
-import {createUnlimited} from '../limits/unlimited.js';
 import {createMembership} from '../membership/membership.js';
 import {createOrphans} from '../orphans/orphans.js';
 import {isSessionInUse} from '../orphans/is_session_in_use.js';
 import type {AliveMembers} from '../membership/alive_members.js';
+import {createSharedLimits} from '../limits/shared_limits.js';
 import {FifoQueue} from '../queue/fifo_queue.js';
 import {createRequestTracker} from '../requests/request_tracker.js';
 import {createStrategy} from '../routing/create_strategy.js';
@@ -35,7 +35,6 @@
   const endpointGossip = createEndpointGossip(cfg, () => endpoints);
   const endpoints = createEndpointDirectory(endpointGossip);
   const queue = new FifoQueue();
-  const limits = createUnlimited();
   const membership = createMembership({
     cfg,
     endpoints: endpointGossip,
@@ -48,6 +47,15 @@
     onChange: ctx =>
       endpoints.syncRows(ctx, table.fold.rowsOf('endpoint'), table.fold.next()),
   });
+  const limits = createSharedLimits({
+    members,
+    incarnation: cfg.incarnation,
+    fleetSize: cfg.fleetSize,
+    customer: name => {
+      const row = table.fold.get(`customer/${name}`)?.row;
+      return row?.type === 'customer' ? row : undefined;
+    },
+  });
   const tracker = createRequestTracker({
     cfg,
     queue,
@@ -121,6 +129,7 @@
     endpointGossip,
     requests,
     claims,
+    limits,
     membership,
     orphans,
   ]);
--- a/packages/core/src/shared/metrics.ts
+++ b/packages/core/src/shared/metrics.ts
@@ -45,6 +45,11 @@
     help: 'Milliseconds from claim to verdict.',
     labels: [],
   },
+  limit_refusals_total: {
+    type: 'counter',
+    help: 'Requests refused by a limit, by customer and code.',
+    labels: ['customer', 'code'],
+  },
   table_offset: {
     type: 'gauge',
     help: 'Offset of the next table record expected.',
--- a/packages/router/src/router_program.ts
+++ b/packages/router/src/router_program.ts
@@ -138,6 +138,7 @@
     maxWaiting: cfg.routing.max_waiting,
     peers: cfg.peers.seeds,
     tableRetentionMs: cfg.platform.log_retention,
+    fleetSize: cfg.routing.fleet_size,
     keyMaxAgeMs: cfg.claims.key_max_age,
     clockToleranceMs: cfg.claims.clock_tolerance,
   });
--- a/packages/router/src/settings.ts
+++ b/packages/router/src/settings.ts
@@ -49,6 +49,11 @@
       unit: 'requests',
       fallback: '10000',
     }),
+    fleet_size: integer(1, 100_000, {
+      help: 'Routers of the fleet; a router without a share of a limit uses the limit divided by this.',
+      unit: 'routers',
+      fallback: '7',
+    }),
     seed: integer(0, 4_294_967_295, {
       help: 'Seed of random choices; 0 takes one from the clock.',
       fallback: '0',
