Measure appends of claims against calls

Cause: the log takes several hundred appends a second, so the design's bound of 160 needs a check under load.

--- a/packages/core/src/mocks/fleet_journal.ts
+++ b/packages/core/src/mocks/fleet_journal.ts
@@ -27,12 +27,22 @@
 export interface FleetJournal {
   runs: FleetRun[];
   requests: Map<string, FleetRequest>;
-  appends: number;
   /** Appends that carry claims. */
   claimAppends: number;
+  claimBytes: number;
+  peerMessages: number;
+  /** Time from claim to verdict of each claim decided. */
+  verdictMs: number[];
 }
 
 /** Creates an empty journal. */
 export function createFleetJournal(): FleetJournal {
-  return {runs: [], requests: new Map(), appends: 0, claimAppends: 0};
+  return {
+    runs: [],
+    requests: new Map(),
+    claimAppends: 0,
+    claimBytes: 0,
+    peerMessages: 0,
+    verdictMs: [],
+  };
 }
--- a/packages/core/src/mocks/fleet_log_link.ts
+++ b/packages/core/src/mocks/fleet_log_link.ts
@@ -29,8 +29,10 @@
 
   // An append is carried out even if its router has died meanwhile.
   function append({appendId, stream, data}: Append): void {
-    journal.appends += 1;
-    if (stream.startsWith('claims-')) journal.claimAppends += 1;
+    if (stream.startsWith('claims-')) {
+      journal.claimAppends += 1;
+      journal.claimBytes += data.length;
+    }
     clock.after(latencyMs(), () => {
       const settle = (
         delayMs: number,
--- a/packages/core/src/mocks/fleet_node.ts
+++ b/packages/core/src/mocks/fleet_node.ts
@@ -83,7 +83,12 @@
         return link.tail(action.stream, action.from);
       case 'stop_tail':
         return link.stopTail(action.stream);
+      case 'observe':
+        if (action.metric !== 'claim_wait_ms') return;
+        journal.verdictMs.push(action.value);
+        return;
       case 'send_peer':
+        journal.peerMessages += 1;
         return parts.sendPeer(action.to, incarnation, action.message);
       case 'start_attempt':
         return answerAttempt(world, action, deliver);
