Refuse claims only from a partition that is being read

Cause: a recorder answered duplicates from what it had read before it stopped following a partition, so an outcome recorded elsewhere meanwhile was never seen. It also refused every claim of a wholly trimmed partition without appending one, so that no new batch could end this state if the first owner had crashed. Neither ran a key twice. Change: the recorder answers at once only after a read since the tail started, and appends while it does not know up to which key age it can vouch. One case for each.

--- a/packages/core/src/claims/claims_cases.test.ts
+++ b/packages/core/src/claims/claims_cases.test.ts
@@ -4,6 +4,7 @@
   advanceUntilClaimed,
   ask,
   endOf,
+  keyBeside,
   keyRecordedBy,
   streamOf,
 } from '../mocks/fleet_probes.js';
@@ -129,13 +130,49 @@
       }
       fleet.world.clock.advance(100);
       const old = ask(fleet, 1, key);
-      let later = fleet.newKey();
-      while (streamOf(later) !== streamOf(key)) later = fleet.newKey();
-      return [before, old, ask(fleet, 2, later)];
+      return [before, old, ask(fleet, 2, keyBeside(fleet, key))];
     },
     ends: ['completed', 'rejected_not_run key_expired', 'completed'],
     runs: 2,
   },
+  {
+    name: 'a wholly trimmed partition becomes usable after a crashed owner',
+    play: fleet => {
+      const key = keyRecordedBy(fleet, 1);
+      const before = ask(fleet, 0, key);
+      fleet.world.log.trim(streamOf(key), 0);
+      for (const i of [0, 1, 2]) {
+        fleet.node(i).crash();
+        fleet.restart(i);
+      }
+      fleet.world.clock.advance(100);
+      fleet.request(0, keyBeside(fleet, key));
+      fleet.world.clock.advance(5);
+      fleet.node(0).crash();
+      fleet.world.clock.advance(1_000);
+      const first = ask(fleet, 2, keyBeside(fleet, key));
+      return [before, first, ask(fleet, 2, keyBeside(fleet, key))];
+    },
+    ends: ['completed', 'rejected_not_run key_expired', 'completed'],
+    runs: 2,
+  },
+  {
+    name: 'a recorder that was idle does not answer from what it knew before',
+    play: fleet => {
+      const key = keyRecordedBy(fleet, 1);
+      const reqId = fleet.request(0, key);
+      advanceUntilClaimed(fleet, key);
+      fleet.world.clock.advance(40);
+      fleet.setAlive(0, []);
+      fleet.world.faults.logDown = true;
+      fleet.world.clock.advance(40_000);
+      fleet.world.faults.logDown = false;
+      fleet.world.clock.advance(6_000);
+      return [endOf(fleet, reqId), ask(fleet, 1, key)];
+    },
+    ends: ['completed', DONE],
+    runs: 1,
+  },
   {
     name: 'a drain waits for a claim in flight and records its outcome',
     play: fleet => {
--- a/packages/core/src/claims/partition_fold.ts
+++ b/packages/core/src/claims/partition_fold.ts
@@ -114,8 +114,10 @@
   ): ClaimVerdict | undefined {
     const state = keys.get(claim.key);
     if (state?.owner) return duplicateVerdict(state, nowMs);
-    const covered = floor.covers(claimKeyTimeMs(claim.key) ?? 0);
-    return covered ? undefined : 'expired';
+    // While the floor is unknown the claim is appended, as only a new batch
+    // can settle it when nothing was retained.
+    const excluded = floor.excludes(claimKeyTimeMs(claim.key) ?? 0);
+    return excluded ? 'expired' : undefined;
   }
 
   function prune(timeMs: number): void {
--- a/packages/core/src/claims/partition_recorder.ts
+++ b/packages/core/src/claims/partition_recorder.ts
@@ -42,16 +42,21 @@
   const fold = createPartitionFold(cfg.clockToleranceMs);
   const batcher = createAppendBatcher(cfg, stream);
   let tailing = false;
+  /** The stream has been read since the tail started. */
+  let fresh = false;
   let usedMs = 0;
   let nextPruneMs = 0;
 
   function submit(ctx: RouterContext, claim: ClaimEntry, from: string): void {
-    const decided = fold.verdict(claim, ctx.nowMs);
-    if (decided) return decide(ctx, claim, from, decided, traceOf(decided));
-    const foregone = fold.foregone(claim, ctx.nowMs);
-    if (foregone) return decide(ctx, claim, from, foregone, 'absent');
-    batcher.add(ctx, claim, from, ctx.nowMs + claim.timeoutMs);
     follow(ctx);
+    // What was read before a break in following may have changed since.
+    if (fresh) {
+      const decided = fold.verdict(claim, ctx.nowMs);
+      if (decided) return decide(ctx, claim, from, decided, traceOf(decided));
+      const foregone = fold.foregone(claim, ctx.nowMs);
+      if (foregone) return decide(ctx, claim, from, foregone, 'absent');
+    }
+    batcher.add(ctx, claim, from, ctx.nowMs + claim.timeoutMs);
   }
 
   function report(
@@ -78,6 +83,7 @@
 
   function logRead(ctx: RouterContext, event: LogRead): void {
     if (event.stream !== stream) return;
+    fresh = tailing;
     const {trimmed, malformed} = fold.read(event, ctx.nowMs);
     if (trimmed) {
       const fields = {stream, earliest: event.earliest};
@@ -147,6 +153,7 @@
     if (batcher.size() > 0) usedMs = ctx.nowMs;
     if (tailing && ctx.nowMs - usedMs >= TAIL_IDLE_MS) {
       tailing = false;
+      fresh = false;
       ctx.emit({kind: 'stop_tail', stream});
     }
     if (ctx.nowMs < nextPruneMs) return;
--- a/packages/core/src/claims/vouch_floor.ts
+++ b/packages/core/src/claims/vouch_floor.ts
@@ -8,6 +8,8 @@
   raise(timeMs: number): void;
   /** Whether all claims with a key of this time have been read. */
   covers(keyTimeMs: number): boolean;
+  /** Whether that will never be so for a key of this time. */
+  excludes(keyTimeMs: number): boolean;
 }
 
 /**
@@ -39,5 +41,6 @@
     batchRead,
     raise,
     covers: timeMs => trimmedBelow === undefined && timeMs > floorMs,
+    excludes: timeMs => timeMs <= floorMs,
   };
 }
--- a/packages/core/src/mocks/fleet_probes.ts
+++ b/packages/core/src/mocks/fleet_probes.ts
@@ -15,6 +15,14 @@
   }
 }
 
+/** A new key in the partition of another. */
+export function keyBeside(fleet: RouterFleet, other: string): string {
+  for (;;) {
+    const key = fleet.newKey();
+    if (streamOf(key) === streamOf(other)) return key;
+  }
+}
+
 /** Runs until the key's stream has a record. */
 export function advanceUntilClaimed(fleet: RouterFleet, key: string): void {
   const {clock, log} = fleet.world;
