Add a fair queue with lanes for short and long prompts

Cause: in arrival order one long prompt, or one customer, holds up all others. Change: FairQueue keeps a lane per service and prompt length and serves (class, customer) flows by start-time fair queueing in tokens among requests of the same aged priority; the class objective sets how early requests age. RouterConfig gets `queue` and `longPromptTokens`; FifoQueue stays as baseline.

--- a/packages/core/src/mocks/router_events.ts
+++ b/packages/core/src/mocks/router_events.ts
@@ -12,6 +12,8 @@
     failureDomain: 'amman-1',
     incarnation: 1,
     strategy: 'least_outstanding',
+    queue: 'fifo',
+    longPromptTokens: 16_384,
     firstTokenTimeoutMs: 2_000,
     idleTimeoutMs: 1_000,
     drainNoticeMs: 500,
--- /dev/null
+++ b/packages/core/src/queue/drain_rate.ts
@@ -0,0 +1,39 @@
+/** Starts seen before the rate is trusted. */
+const MIN_STARTS = 3;
+
+/** How fast a lane is served while requests wait in it. */
+export interface DrainRate {
+  /** Accounts for time; `busy` says whether requests waited meanwhile. */
+  advance(nowMs: number, busy: boolean): void;
+  started(tokens: number): void;
+  /** Tokens per millisecond; undefined until enough was observed. */
+  tokensPerMs(): number | undefined;
+}
+
+/** Creates a rate without observations; old ones fade by the half-life. */
+export function createDrainRate(halfLifeMs: number): DrainRate {
+  let tokens = 0;
+  let busyMs = 0;
+  let starts = 0;
+  let advancedMs: number | undefined;
+
+  function advance(nowMs: number, busy: boolean): void {
+    const elapsedMs = nowMs - (advancedMs ?? nowMs);
+    advancedMs = nowMs;
+    if (!busy || elapsedMs <= 0) return;
+    const keep = 0.5 ** (elapsedMs / halfLifeMs);
+    tokens *= keep;
+    starts *= keep;
+    busyMs = busyMs * keep + elapsedMs;
+  }
+
+  return {
+    advance,
+    started: count => {
+      tokens += count;
+      starts += 1;
+    },
+    tokensPerMs: () =>
+      starts < MIN_STARTS || busyMs <= 0 ? undefined : tokens / busyMs,
+  };
+}
--- /dev/null
+++ b/packages/core/src/queue/fair_queue.ts
@@ -0,0 +1,66 @@
+import {createLaneQueue, type LaneQueue} from './lane_queue.js';
+import {laneOf, type Lane} from './lane.js';
+import type {QueueEntry} from './queue_entry.js';
+import {RequestQueue} from './request_queue.js';
+
+/** Long prompts start rarely, so their drain rate needs a longer memory. */
+const HALF_LIFE_MS: Record<Lane, number> = {short: 10_000, long: 60_000};
+/** Bounds the cost of offering to engines that are full, per lane. */
+const RETRY_MS = 5;
+
+/** Lanes by service and prompt length; fair in tokens within each. */
+export class FairQueue extends RequestQueue {
+  private readonly lanes = new Map<string, LaneQueue>();
+  private readonly laneOfReq = new Map<string, LaneQueue>();
+
+  constructor(private readonly longPromptTokens: number) {
+    super();
+  }
+
+  override push(entry: QueueEntry): void {
+    const lane = this.lane(entry);
+    lane.push(entry);
+    this.laneOfReq.set(entry.reqId, lane);
+  }
+
+  override remove(reqId: string): void {
+    this.laneOfReq.get(reqId)?.remove(reqId);
+    this.laneOfReq.delete(reqId);
+  }
+
+  override size(): number {
+    return this.laneOfReq.size;
+  }
+
+  override *entries(): Iterable<QueueEntry> {
+    for (const lane of this.lanes.values()) yield* lane.entries();
+  }
+
+  override serve(
+    nowMs: number,
+    tryStart: (entry: QueueEntry) => boolean,
+  ): void {
+    for (const lane of this.lanes.values()) {
+      lane.serve(nowMs, entry => {
+        if (!tryStart(entry)) return false;
+        this.laneOfReq.delete(entry.reqId);
+        return true;
+      });
+    }
+  }
+
+  override expectedWaitMs(entry: QueueEntry, nowMs: number): number {
+    return this.lane(entry).expectedWaitMs(entry, nowMs);
+  }
+
+  private lane(entry: QueueEntry): LaneQueue {
+    const lane = laneOf(entry.promptTokens, this.longPromptTokens);
+    const key = `${lane}|${entry.service}`;
+    let found = this.lanes.get(key);
+    if (!found) {
+      found = createLaneQueue(HALF_LIFE_MS[lane], RETRY_MS);
+      this.lanes.set(key, found);
+    }
+    return found;
+  }
+}
--- a/packages/core/src/queue/queue_entry.ts
+++ b/packages/core/src/queue/queue_entry.ts
@@ -1,3 +1,5 @@
+import type {Objective} from '../types/objective.js';
+
 /** A waiting request as a queue sees it. */
 export interface QueueEntry {
   reqId: string;
@@ -10,6 +12,9 @@
   weight: number;
   /** 0 is served first. */
   priority: number;
+  objective: Objective;
   arrivedMs: number;
   deadlineMs: number;
+  /** Set by a fair queue: a retry is not charged to the flow again. */
+  charged?: boolean;
 }
--- /dev/null
+++ b/packages/core/src/queue/queue_name.ts
@@ -0,0 +1,2 @@
+/** Queues that settings can name. */
+export type QueueName = 'fair' | 'fifo';
--- a/packages/core/src/queue/request_queue.ts
+++ b/packages/core/src/queue/request_queue.ts
@@ -12,4 +12,9 @@
    * started and so leaves the queue.
    */
   abstract serve(nowMs: number, tryStart: (entry: QueueEntry) => boolean): void;
+
+  /** Expected waiting time of a new entry; 0 where it is not estimated. */
+  expectedWaitMs(_entry: QueueEntry, _nowMs: number): number {
+    return 0;
+  }
 }
--- a/packages/core/src/requests/request_state.ts
+++ b/packages/core/src/requests/request_state.ts
@@ -1,5 +1,5 @@
-import type {Objective} from '../types/objective.js';
 import type {QueueEntry} from '../queue/queue_entry.js';
+import type {RouteChoice} from '../routing/route_choice.js';
 import type {AttemptHistory} from './attempt_history.js';
 import type {RequestPhase} from './request_phase.js';
 
@@ -7,7 +7,6 @@
 export interface RequestState {
   entry: QueueEntry;
   idempotent: boolean;
-  objective: Objective;
   prefixHashes: string[];
   /** Empty for idempotent requests without a key. */
   idempotencyKey: string;
@@ -23,6 +22,10 @@
   /** Monotonic time at which a backoff ends. */
   retryAtMs: number;
   firstTokenMs: number | undefined;
+  /** Choice behind the newest attempt; undefined before the first. */
+  choice: RouteChoice | undefined;
+  /** Backoffs after refused reservations. */
+  backoffs: number;
   failedEndpoints: Set<string>;
   history: AttemptHistory;
 }
--- a/packages/core/src/router/router_config.ts
+++ b/packages/core/src/router/router_config.ts
@@ -1,3 +1,4 @@
+import type {QueueName} from '../queue/queue_name.js';
 import type {StrategyName} from '../routing/strategy_name.js';
 
 /** Settings of a router's decisions. */
@@ -8,6 +9,9 @@
   /** Larger for each start of the process. */
   incarnation: number;
   strategy: StrategyName;
+  queue: QueueName;
+  /** Prompts with more tokens than this go to the long lane. */
+  longPromptTokens: number;
   /** Silence before the first part of an answer, in milliseconds. */
   firstTokenTimeoutMs: number;
   /** Silence between parts of an answer, in milliseconds. */
--- a/packages/core/src/router/router_node.ts
+++ b/packages/core/src/router/router_node.ts
@@ -4,7 +4,7 @@
 import {createDrain} from '../drain/drain.js';
 import {createEndpointDirectory} from '../endpoints/endpoint_directory.js';
 import {createUnlimited} from '../limits/unlimited.js';
-import {FifoQueue} from '../queue/fifo_queue.js';
+import {createQueue} from '../queue/create_queue.js';
 import {createRequestTracker} from '../requests/request_tracker.js';
 import {createStrategy} from '../routing/create_strategy.js';
 import {createTableFeature} from '../table/table_feature.js';
@@ -24,7 +24,7 @@
   cfg: RouterConfig,
 ): DecisionNode<RouterEvent, RouterAction> {
   const endpoints = createEndpointDirectory();
-  const queue = new FifoQueue();
+  const queue = createQueue(cfg);
   const limits = createUnlimited();
   const table = createTableFeature(ctx =>
     endpoints.syncRows(ctx, table.fold.rowsOf('endpoint')),
