Route by expected cost with a learned rate and a prefix index

Cause: counts of requests say nothing about prompts whose prefill differs a thousandfold. Change: ExpectedCost prices endpoints in milliseconds from queued tokens, own prefill, cached prefix, decode load and failure domain, learns prefill rates from first-token times, draws twice among near-best, caps queued tokens per engine and confines long prompts to a subset whose idle engines are lent. The prefix index follows cache events by sequence number. Silence during an expected prefill no longer fails an attempt. A test found that a service with one engine lent it to short prompts only when idle; a subset of all engines is now shared. Two more found that the default rate never faded from the learned one.

--- a/packages/core/src/endpoints/endpoint_directory.ts
+++ b/packages/core/src/endpoints/endpoint_directory.ts
@@ -17,17 +17,22 @@
   /** Stops new work to the incarnation of the endpoint seen last. */
   markLeaving(ctx: RouterContext, name: string, source: string): void;
   attemptStarted(name: string, promptTokens: number): void;
+  /** The attempt's prefill is over: its first token came or it ended. */
+  prefillEnded(name: string, promptTokens: number): void;
   attemptEnded(ctx: RouterContext, name: string, ok: boolean): void;
   /** Endpoints of a service that may take new work now. */
   candidates(service: string, nowMs: number): EndpointView[];
   /** Whether any endpoint of the table serves the service. */
   serves(service: string): boolean;
+  /** Rows of all endpoints of a service. */
+  rowsOf(service: string): EndpointRow[];
   get(name: string): EndpointView | undefined;
 }
 
 /** Creates an empty directory. */
 export function createEndpointDirectory(): EndpointDirectory {
   const views = new Map<string, EndpointView>();
+  const byService = new Map<string, EndpointView[]>();
 
   function syncRows(ctx: RouterContext, rows: EndpointRow[]): void {
     const names = new Set(rows.map(row => row.name));
@@ -39,6 +44,7 @@
       if (view) view.row = row;
       else views.set(row.name, newView(row));
     }
+    groupByService();
     ctx.emit({
       kind: 'watch_endpoints',
       endpoints: rows
@@ -81,6 +87,13 @@
     if (!view) return;
     view.outstanding += 1;
     view.sentTokens += promptTokens;
+    view.pendingTokens += promptTokens;
+  }
+
+  function prefillEnded(name: string, promptTokens: number): void {
+    const view = views.get(name);
+    if (!view) return;
+    view.pendingTokens = Math.max(0, view.pendingTokens - promptTokens);
   }
 
   function attemptEnded(ctx: RouterContext, name: string, ok: boolean): void {
@@ -105,25 +118,38 @@
   }
 
   function candidates(service: string, nowMs: number): EndpointView[] {
-    return [...views.values()].filter(
+    return viewsOf(service).filter(
       view =>
-        view.row.service === service &&
         view.row.desired === 'serving' &&
         view.leavingIncarnation === undefined &&
         view.blockedUntilMs <= nowMs,
     );
   }
 
+  function groupByService(): void {
+    byService.clear();
+    for (const view of views.values()) {
+      const group = byService.get(view.row.service);
+      if (group) group.push(view);
+      else byService.set(view.row.service, [view]);
+    }
+  }
+
+  function viewsOf(service: string): EndpointView[] {
+    return byService.get(service) ?? [];
+  }
+
   return {
     syncRows,
     report,
     unreachable,
     markLeaving,
     attemptStarted,
+    prefillEnded,
     attemptEnded,
     candidates,
-    serves: service =>
-      [...views.values()].some(view => view.row.service === service),
+    serves: service => byService.has(service),
+    rowsOf: service => viewsOf(service).map(view => view.row),
     get: name => views.get(name),
   };
 }
@@ -134,6 +160,8 @@
     report: undefined,
     outstanding: 0,
     sentTokens: 0,
+    pendingTokens: 0,
+    prefillSeen: {work: 0, ms: 0},
     leavingIncarnation: undefined,
     blockedUntilMs: 0,
     consecutiveFailures: 0,
--- a/packages/core/src/endpoints/endpoint_view.ts
+++ b/packages/core/src/endpoints/endpoint_view.ts
@@ -1,4 +1,5 @@
 import type {EndpointRow} from '../types/endpoint_row.js';
+import type {PrefillSeen} from './prefill_seen.js';
 import type {EndpointReport} from '../router/events/endpoint_report.js';
 
 /** What a router knows of an endpoint. */
@@ -10,6 +11,10 @@
   outstanding: number;
   /** Prompt tokens sent since the newest report, by this router. */
   sentTokens: number;
+  /** Prompt tokens of this router's attempts without a first token yet. */
+  pendingTokens: number;
+  /** Prefill work and time observed lately, for the engine's own rate. */
+  prefillSeen: PrefillSeen;
   /** Incarnation that is known to be leaving; undefined if none is. */
   leavingIncarnation: string | undefined;
   /** Monotonic time until which the endpoint gets no work after failures. */
--- /dev/null
+++ b/packages/core/src/endpoints/prefill_seen.ts
@@ -0,0 +1,6 @@
+/** Sums over observed prefills; older ones fade. */
+export interface PrefillSeen {
+  /** Work in linear token equivalents. */
+  work: number;
+  ms: number;
+}
--- a/packages/core/src/requests/request_tracker.ts
+++ b/packages/core/src/requests/request_tracker.ts
@@ -12,6 +12,7 @@
 import {backoffMs} from './backoff.js';
 import {decideOutcome} from './decide_outcome.js';
 import type {EndReason} from './end_reason.js';
+import type {RequestObserver} from './request_observer.js';
 import type {RequestState} from './request_state.js';
 import {createRetryBudget} from './retry_budget.js';
 
@@ -19,6 +20,8 @@
 const DEADLINE_MARGIN_MS = 20;
 /** A retry with less time than this left cannot succeed. */
 const MIN_RETRY_MS = 100;
+/** Long prompts are silent while they are prefilled, which is no failure. */
+const EXPECTED_TIMES_ALLOWED = 3;
 
 /** Lifecycle of admitted requests. */
 export interface RequestTracker {
@@ -38,6 +41,10 @@
   delta(ctx: RouterContext, event: AttemptDelta): void;
   ended(ctx: RouterContext, event: AttemptEnded): void;
   failed(ctx: RouterContext, event: AttemptFailed): void;
+  /** Marks a queued request as waiting for its reservations. */
+  reserving(reqId: string): void;
+  /** Lets a request that could not be reserved for return to the queue later. */
+  backOff(ctx: RouterContext, reqId: string): void;
   /** Ends a request without a whole answer. */
   abort(
     ctx: RouterContext,
@@ -55,6 +62,7 @@
   cfg: RouterConfig;
   queue: RequestQueue;
   endpoints: EndpointDirectory;
+  observer?: RequestObserver;
   /** Called once for each request that ends. */
   onEnd(ctx: RouterContext, state: RequestState, outcome: Outcome): void;
 }
@@ -63,12 +71,13 @@
 export function createRequestTracker(
   parts: RequestTrackerParts,
 ): RequestTracker {
-  const {cfg, queue, endpoints} = parts;
+  const {cfg, queue, endpoints, observer} = parts;
   const requests = new Map<string, RequestState>();
   const budget = createRetryBudget();
 
   function admit(ctx: RouterContext, state: RequestState): void {
     requests.set(state.entry.reqId, state);
+    observer?.admitted(ctx, state);
     if (state.phase === 'queued') queue.push(state.entry, ctx.nowMs);
   }
 
@@ -93,6 +102,7 @@
     state.attempt += 1;
     state.phase = 'dispatched';
     state.endpoint = row.name;
+    state.choice = choice;
     state.progressMs = ctx.nowMs;
     state.history.started();
     endpoints.attemptStarted(row.name, state.entry.promptTokens);
@@ -109,7 +119,7 @@
       priority: state.entry.priority,
       timeoutMs: remainingMs,
       notAfterMs: state.entry.deadlineMs - DEADLINE_MARGIN_MS,
-      reservations: [],
+      reservations: choice.reservations ?? [],
     });
     ctx.emit({
       kind: 'observe',
@@ -147,6 +157,8 @@
       giveUpAttempt(ctx, state);
       return;
     }
+    if (state.phase === 'dispatched') observer?.firstPart(ctx, state);
+    prefillEnded(state);
     state.nextSequence += 1;
     state.progressMs = ctx.nowMs;
     state.phase = 'streaming';
@@ -154,6 +166,11 @@
     ctx.emit({kind: 'deliver', reqId: event.reqId, payload: event.payload});
   }
 
+  function prefillEnded(state: RequestState): void {
+    if (state.phase !== 'dispatched') return;
+    endpoints.prefillEnded(state.endpoint, state.entry.promptTokens);
+  }
+
   function noteFirstToken(ctx: RouterContext, state: RequestState): void {
     if (state.firstTokenMs !== undefined) return;
     state.firstTokenMs = ctx.nowMs - state.entry.arrivedMs;
@@ -175,6 +192,7 @@
       giveUpAttempt(ctx, state);
       return;
     }
+    prefillEnded(state);
     endpoints.attemptEnded(ctx, state.endpoint, true);
     finish(ctx, state, {kind: 'completed'});
   }
@@ -212,7 +230,9 @@
       },
     });
     const healthy = failure === 'rejected' || failure === 'said_not_run';
+    prefillEnded(state);
     endpoints.attemptEnded(ctx, state.endpoint, healthy);
+    observer?.attemptFailed(ctx, state);
     state.failedEndpoints.add(state.endpoint);
     state.endpoint = '';
     state.history.failed(failure);
@@ -248,6 +268,20 @@
     state.retryAtMs = ctx.nowMs + waitMs;
   }
 
+  function reserving(reqId: string): void {
+    const state = requests.get(reqId);
+    if (state) state.phase = 'reserving';
+  }
+
+  function backOff(ctx: RouterContext, reqId: string): void {
+    const state = requests.get(reqId);
+    if (!state) return;
+    queue.remove(reqId);
+    state.backoffs += 1;
+    state.phase = 'backoff';
+    state.retryAtMs = ctx.nowMs + backoffMs(state.backoffs, ctx.random);
+  }
+
   function abort(
     ctx: RouterContext,
     reqId: string,
@@ -259,6 +293,7 @@
     if (!state) return;
     if (state.endpoint !== '') {
       ctx.emit({kind: 'cancel_attempt', reqId, attempt: state.attempt});
+      prefillEnded(state);
       endpoints.attemptEnded(ctx, state.endpoint, reason === 'cancelled');
     }
     const outcome = decideOutcome(
@@ -319,7 +354,9 @@
   function isSilent(ctx: RouterContext, state: RequestState): boolean {
     const silentMs = ctx.nowMs - state.progressMs;
     if (state.phase === 'dispatched') {
-      return silentMs >= cfg.firstTokenTimeoutMs;
+      const expectedMs = state.choice?.costMs ?? 0;
+      const grace = expectedMs * EXPECTED_TIMES_ALLOWED;
+      return silentMs >= cfg.firstTokenTimeoutMs + grace;
     }
     return state.phase === 'streaming' && silentMs >= cfg.idleTimeoutMs;
   }
@@ -334,6 +371,8 @@
     delta,
     ended,
     failed,
+    reserving,
+    backOff,
     abort,
     expire,
   };
--- a/packages/core/src/router/dispatcher.ts
+++ b/packages/core/src/router/dispatcher.ts
@@ -2,6 +2,7 @@
 import type {QueueEntry} from '../queue/queue_entry.js';
 import type {RequestQueue} from '../queue/request_queue.js';
 import type {RequestTracker} from '../requests/request_tracker.js';
+import {routeRequestOf} from '../routing/route_request_of.js';
 import type {RoutingStrategy} from '../routing/routing_strategy.js';
 import type {RouterContext} from './router_context.js';
 
@@ -25,12 +26,7 @@
     if (!state) return true;
     const candidates = endpoints.candidates(entry.service, ctx.nowMs);
     const choice = strategy.choose(
-      {
-        reqId: entry.reqId,
-        promptTokens: entry.promptTokens,
-        prefixHashes: state.prefixHashes,
-        avoid: state.failedEndpoints,
-      },
+      routeRequestOf(state),
       candidates,
       ctx.random,
     );
--- a/packages/core/src/router/router_node.ts
+++ b/packages/core/src/router/router_node.ts
@@ -7,6 +7,8 @@
 import {createQueue} from '../queue/create_queue.js';
 import {createRequestTracker} from '../requests/request_tracker.js';
 import {createStrategy} from '../routing/create_strategy.js';
+import {createPrefixIndex} from '../routing/prefix_index.js';
+import {routeRequestOf} from '../routing/route_request_of.js';
 import {createTableFeature} from '../table/table_feature.js';
 import type {DecisionNode} from '../types/decision_node.js';
 import type {RouterAction} from './actions/router_action.js';
@@ -25,14 +27,26 @@
 ): DecisionNode<RouterEvent, RouterAction> {
   const endpoints = createEndpointDirectory();
   const queue = createQueue(cfg);
+  const prefixIndex = createPrefixIndex(endpoints);
+  const strategy = createStrategy(cfg, prefixIndex.cachedPrefix);
   const limits = createUnlimited();
-  const table = createTableFeature(ctx =>
-    endpoints.syncRows(ctx, table.fold.rowsOf('endpoint')),
-  );
+  const table = createTableFeature(ctx => {
+    endpoints.syncRows(ctx, table.fold.rowsOf('endpoint'));
+    prefixIndex.prune();
+  });
   const tracker = createRequestTracker({
     cfg,
     queue,
     endpoints,
+    observer: {
+      admitted: (ctx, state) =>
+        strategy.admitted(routeRequestOf(state), ctx.nowMs),
+      firstPart: (ctx, state) => {
+        const elapsedMs = ctx.nowMs - state.progressMs;
+        if (state.choice) strategy.firstToken(state.choice, elapsedMs);
+      },
+      attemptFailed: () => undefined,
+    },
     onEnd: (ctx, state, outcome) => {
       limits.release(ctx, state.entry.customer);
       if (!state.idempotent) claims.ended(ctx, state.entry.reqId, outcome);
@@ -44,7 +58,6 @@
   };
   const claims: Claims = createNoClaims(claimListener);
   const drain = createDrain({noticeMs: cfg.drainNoticeMs, cutAll});
-  const strategy = createStrategy(cfg.strategy);
   const admit = createAdmission({
     cfg,
     table,
@@ -86,5 +99,6 @@
     }
   }
 
-  return runFeatures([table, createReadinessFeature(table, drain), requests]);
+  const readiness = createReadinessFeature(table, drain);
+  return runFeatures([table, readiness, requests, prefixIndex]);
 }
--- /dev/null
+++ b/packages/core/src/routing/long_share.ts
@@ -0,0 +1,87 @@
+import type {Objective} from '../types/objective.js';
+
+const HALF_LIFE_MS = 120_000;
+/** Work assumed at the start, half of it long. */
+const PRIOR_WORK = 200_000;
+/** A wanted size must differ by this much before the subset changes. */
+const HYSTERESIS_ENGINES = 0.75;
+/** Short prompts come in bursts and get this many times their mean share. */
+const SHORT_HEADROOM = 2;
+/** Largest share of the engines for long prompts, by objective. */
+const MAX_SHARE: Record<Objective, number> = {
+  completion: 0.9,
+  first_token: 0.8,
+  short_slowdown: 0.65,
+};
+
+/** Sizes the subset of engines that long prompts may use. */
+export interface LongShare {
+  /** Counts an admitted prompt. */
+  record(
+    service: string,
+    work: number,
+    long: boolean,
+    objective: Objective,
+    nowMs: number,
+  ): void;
+  /** Engines for long prompts out of `engines`; at least one. */
+  subsetSize(service: string, engines: number): number;
+}
+
+interface ServiceWork {
+  short: number;
+  long: number;
+  /** Work multiplied by the objective's largest share. */
+  weighted: number;
+  recordedMs: number;
+  size: number;
+}
+
+/** Creates sizes without recorded prompts. */
+export function createLongShare(): LongShare {
+  const services = new Map<string, ServiceWork>();
+
+  function workOf(service: string): ServiceWork {
+    const known = services.get(service);
+    if (known) return known;
+    const work: ServiceWork = {
+      short: PRIOR_WORK / 2,
+      long: PRIOR_WORK / 2,
+      weighted: PRIOR_WORK * MAX_SHARE.first_token,
+      recordedMs: 0,
+      size: 0,
+    };
+    services.set(service, work);
+    return work;
+  }
+
+  function record(
+    service: string,
+    work: number,
+    long: boolean,
+    objective: Objective,
+    nowMs: number,
+  ): void {
+    const sums = workOf(service);
+    const keep = 0.5 ** ((nowMs - sums.recordedMs) / HALF_LIFE_MS);
+    sums.recordedMs = nowMs;
+    sums.short = sums.short * keep + (long ? 0 : work);
+    sums.long = sums.long * keep + (long ? work : 0);
+    sums.weighted = sums.weighted * keep + work * MAX_SHARE[objective];
+  }
+
+  function subsetSize(service: string, engines: number): number {
+    const sums = workOf(service);
+    const total = sums.short + sums.long;
+    const maxShare = total > 0 ? sums.weighted / total : MAX_SHARE.first_token;
+    const shortShare = total > 0 ? sums.short / total : 0.5;
+    const share = Math.min(maxShare, 1 - SHORT_HEADROOM * shortShare);
+    const wanted = engines * share;
+    const most = Math.max(1, engines - 1);
+    const outside = Math.abs(wanted - sums.size) > HYSTERESIS_ENGINES;
+    if (outside) sums.size = Math.round(wanted);
+    return Math.min(most, Math.max(1, sums.size));
+  }
+
+  return {record, subsetSize};
+}
--- /dev/null
+++ b/packages/core/src/routing/prefix_index.ts
@@ -0,0 +1,101 @@
+import type {EndpointDirectory} from '../endpoints/endpoint_directory.js';
+import type {CacheEvents} from '../router/events/cache_events.js';
+import type {EndpointReport} from '../router/events/endpoint_report.js';
+import type {RouterContext} from '../router/router_context.js';
+import type {RouterFeature} from '../router/router_feature.js';
+import type {CachedPrefix} from './cached_prefix.js';
+import {createPrefixCache, type PrefixCache} from './prefix_cache.js';
+import {createReadPacer} from './read_pacer.js';
+
+/** Tokens of one block of the prompt. */
+const BLOCK_TOKENS = 256;
+
+/** Which prefixes the engines hold, from their cache events. */
+export interface PrefixIndex extends RouterFeature {
+  readonly cachedPrefix: CachedPrefix;
+  /** Forgets endpoints that the table no longer has. */
+  prune(): void;
+  /** Entries over all endpoints. */
+  size(): number;
+}
+
+/** Creates an index that knows no cache. */
+export function createPrefixIndex(endpoints: EndpointDirectory): PrefixIndex {
+  const caches = new Map<string, PrefixCache>();
+  const pacer = createReadPacer();
+
+  function cacheEvents(ctx: RouterContext, event: CacheEvents): void {
+    const view = endpoints.get(event.endpoint);
+    if (!view) return;
+    // The report names the running incarnation; others are late news of one
+    // that has ended.
+    const running = view.report?.incarnation ?? event.incarnation;
+    if (event.incarnation !== running) return;
+    const cache = cacheOf(event.endpoint, running);
+    const verdict = cache.apply(event);
+    if (verdict === 'gap') {
+      ctx.emit({
+        kind: 'write_log',
+        event: 'WL5101',
+        fields: {endpoint: event.endpoint, from: event.firstSequence},
+      });
+    }
+    if (verdict === 'gap' || (event.full && cache.incomplete())) {
+      pacer.forget(event.endpoint);
+    }
+    if (cache.incomplete()) read(ctx, event.endpoint, -1);
+  }
+
+  function report(ctx: RouterContext, event: EndpointReport): void {
+    if (!endpoints.get(event.endpoint) || event.cacheSequence === 0) return;
+    const cache = cacheOf(event.endpoint, event.incarnation);
+    if (cache.incomplete()) read(ctx, event.endpoint, -1);
+    else if (event.cacheSequence > cache.sequence()) {
+      read(ctx, event.endpoint, cache.sequence());
+    }
+  }
+
+  function cacheOf(endpoint: string, incarnation: string): PrefixCache {
+    const known = caches.get(endpoint);
+    if (known?.incarnation === incarnation) return known;
+    const fresh = createPrefixCache(incarnation);
+    caches.set(endpoint, fresh);
+    return fresh;
+  }
+
+  function read(ctx: RouterContext, endpoint: string, after: number): void {
+    const view = endpoints.get(endpoint);
+    if (!view || !pacer.tryTake(endpoint, ctx.nowMs)) return;
+    ctx.emit({kind: 'read_cache', endpoint, url: view.row.url, after});
+  }
+
+  /** Engines evict from the end of a prefix, so the known part is a prefix. */
+  function cachedPrefix(endpoint: string, prefixHashes: string[]): number {
+    const cache = caches.get(endpoint);
+    if (!cache || cache.size() === 0) return 0;
+    let held = 0;
+    let missing = prefixHashes.length;
+    while (held < missing) {
+      const middle = (held + missing) >> 1;
+      if (cache.has(prefixHashes[middle]!)) held = middle + 1;
+      else missing = middle;
+    }
+    return held * BLOCK_TOKENS;
+  }
+
+  function prune(): void {
+    for (const name of [...caches.keys()]) {
+      if (endpoints.get(name)) continue;
+      caches.delete(name);
+      pacer.forget(name);
+    }
+  }
+
+  return {
+    handlers: {cache_events: cacheEvents, endpoint_report: report},
+    cachedPrefix,
+    prune,
+    size: () =>
+      [...caches.values()].reduce((sum, cache) => sum + cache.size(), 0),
+  };
+}
--- /dev/null
+++ b/packages/core/src/routing/read_pacer.ts
@@ -0,0 +1,40 @@
+/** Pause between two reads of one endpoint's cache. */
+const PER_ENDPOINT_MS = 1_000;
+/**
+ * Reads of all endpoints per second. With 600 engines, reading each as soon as
+ * it has news would by itself exceed a node's 18 KB/s.
+ */
+const READS_PER_SECOND = 8;
+
+/** Limits how often caches are read. */
+export interface ReadPacer {
+  tryTake(endpoint: string, nowMs: number): boolean;
+  /** Lets the endpoint be read again at once. */
+  forget(endpoint: string): void;
+}
+
+/** Creates a pacer that allows a second's worth of reads at once. */
+export function createReadPacer(): ReadPacer {
+  const takenMs = new Map<string, number>();
+  let tokens = READS_PER_SECOND;
+  let refilledMs: number | undefined;
+
+  function refill(nowMs: number): void {
+    const elapsedMs = nowMs - (refilledMs ?? nowMs);
+    refilledMs = nowMs;
+    const added = (elapsedMs / 1_000) * READS_PER_SECOND;
+    tokens = Math.min(READS_PER_SECOND, tokens + added);
+  }
+
+  return {
+    tryTake: (endpoint, nowMs) => {
+      refill(nowMs);
+      const last = takenMs.get(endpoint) ?? -Infinity;
+      if (tokens < 1 || nowMs - last < PER_ENDPOINT_MS) return false;
+      tokens -= 1;
+      takenMs.set(endpoint, nowMs);
+      return true;
+    },
+    forget: endpoint => takenMs.delete(endpoint),
+  };
+}
--- a/packages/core/src/routing/routing_strategy.ts
+++ b/packages/core/src/routing/routing_strategy.ts
@@ -12,6 +12,17 @@
     random: RandomSource,
   ): RouteChoice | undefined;
 
+  /** A request was admitted and will be chosen for. */
+  admitted(_req: RouteRequest, _nowMs: number): void {}
+
+  /** The first token of a chosen attempt came after `elapsedMs`. */
+  firstToken(_choice: RouteChoice, _elapsedMs: number): void {}
+
+  /** Time to first token on an idle endpoint; 0 where not estimated. */
+  bestCaseMs(_service: string, _promptTokens: number): number {
+    return 0;
+  }
+
   /** Leaves out endpoints that failed before, unless that leaves none. */
   protected preferUntried(
     req: RouteRequest,
--- a/packages/core/src/shared/log_events.ts
+++ b/packages/core/src/shared/log_events.ts
@@ -25,6 +25,11 @@
     text: 'late or crossed answer dropped',
     action: 'None; shows that an old attempt still delivered.',
   },
+  WL1005: {
+    level: 'info',
+    text: 'reservation failed, everything held was released',
+    action: 'None unless it repeats; the request is retried after a backoff.',
+  },
   WL2001: {
     level: 'info',
     text: 'table change applied',
@@ -45,6 +50,11 @@
     text: 'endpoint changed state',
     action: 'Check the endpoint if it is not leaving on purpose.',
   },
+  WL5101: {
+    level: 'info',
+    text: 'gap in cache events, full listing requested',
+    action: 'None; choices ignore the lost part of the cache until it comes.',
+  },
   WL9001: {
     level: 'info',
     text: 'process started',
