Reserve memory for long prompts and reject hopeless requests early

Cause: a prompt larger than one engine's memory cannot be served, and under overload requests use engines although they cannot finish in time. Change: all-or-nothing reservations over several engines in ascending name, with release on any failure and jittered retries; prompt_too_long if no set of engines suffices; rejection as overloaded with Retry-After on arrival, while waiting and before the start.

--- /dev/null
+++ b/packages/core/src/reservations/open_asks.ts
@@ -0,0 +1,30 @@
+/** Where reservations were asked for that may still be answered. */
+export interface OpenAsks {
+  /** Remembers the address until the engine has dropped the reservation. */
+  add(round: number, endpoint: string, url: string, untilMs: number): void;
+  /** Address of the ask, which is then answered. */
+  take(round: number, endpoint: string): string | undefined;
+  expire(nowMs: number): void;
+}
+
+/** Creates an empty set; the address outlives the endpoint's table row. */
+export function createOpenAsks(): OpenAsks {
+  const open = new Map<string, {url: string; untilMs: number}>();
+
+  return {
+    add: (round, endpoint, url, untilMs) => {
+      open.set(`${round}|${endpoint}`, {url, untilMs});
+    },
+    take: (round, endpoint) => {
+      const key = `${round}|${endpoint}`;
+      const url = open.get(key)?.url;
+      open.delete(key);
+      return url;
+    },
+    expire: nowMs => {
+      for (const [key, ask] of open) {
+        if (nowMs >= ask.untilMs) open.delete(key);
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/reservations/reservations.ts
@@ -0,0 +1,187 @@
+import type {EndpointDirectory} from '../endpoints/endpoint_directory.js';
+import type {EndpointView} from '../endpoints/endpoint_view.js';
+import type {RequestState} from '../requests/request_state.js';
+import type {ReservationSettled} from '../router/events/reservation_settled.js';
+import type {RouterContext} from '../router/router_context.js';
+import type {RouteChoice} from '../routing/route_choice.js';
+import {kvTokens} from './kv_need.js';
+import {createOpenAsks} from './open_asks.js';
+import {planReservation} from './reservation_plan.js';
+import type {ReservationRound} from './reservation_round.js';
+
+/** An answer that takes longer counts as a refusal. */
+const ANSWER_MS = 1_000;
+/** Time beyond the request's timeout after which the engine frees memory. */
+const TTL_MARGIN_MS = 1_000;
+
+/** Reservations of KV memory for prompts larger than one engine. */
+export interface Reservations {
+  /** Starts a round; false if memory that is known to be free is too small. */
+  begin(
+    ctx: RouterContext,
+    state: RequestState,
+    choice: RouteChoice,
+    candidates: EndpointView[],
+  ): boolean;
+  settled(ctx: RouterContext, event: ReservationSettled): void;
+  /** Gives up rounds whose answer is overdue. */
+  expire(ctx: RouterContext): void;
+  /** Releases what the request holds; its attempt or the request has ended. */
+  release(ctx: RouterContext, reqId: string): void;
+}
+
+/** What the reservations need of the router. */
+export interface ReservationParts {
+  endpoints: EndpointDirectory;
+  /** Everything is held: the attempt may start. */
+  ready(
+    ctx: RouterContext,
+    reqId: string,
+    choice: RouteChoice,
+    candidates: number,
+  ): void;
+  /** A round failed and everything was released: try again later. */
+  refused(ctx: RouterContext, reqId: string): void;
+}
+
+/** Creates reservations of which none is held. */
+export function createReservations(parts: ReservationParts): Reservations {
+  const {endpoints} = parts;
+  const rounds = new Map<string, ReservationRound>();
+  const asks = createOpenAsks();
+  let roundsBegun = 0;
+
+  function begin(
+    ctx: RouterContext,
+    state: RequestState,
+    choice: RouteChoice,
+    candidates: EndpointView[],
+  ): boolean {
+    const {reqId, deadlineMs} = state.entry;
+    const tokens = kvTokens(state);
+    const plan = planReservation(tokens, choice.endpoint, candidates);
+    if (!plan) return false;
+    release(ctx, reqId);
+    roundsBegun += 1;
+    const round: ReservationRound = {
+      reqId,
+      round: roundsBegun,
+      choice,
+      candidates: candidates.length,
+      deadlineMs,
+      plan,
+      held: [],
+      answerDueMs: Infinity,
+    };
+    rounds.set(reqId, round);
+    ask(ctx, round);
+    return true;
+  }
+
+  function ask(ctx: RouterContext, round: ReservationRound): void {
+    const next = round.plan[round.held.length]!;
+    const ttlMs = Math.max(0, round.deadlineMs - ctx.nowMs) + TTL_MARGIN_MS;
+    round.answerDueMs = ctx.nowMs + ANSWER_MS;
+    asks.add(round.round, next.endpoint, next.url, ctx.nowMs + ttlMs);
+    ctx.emit({
+      kind: 'reserve',
+      reqId: round.reqId,
+      attempt: round.round,
+      ...next,
+      ttlMs,
+    });
+  }
+
+  function settled(ctx: RouterContext, event: ReservationSettled): void {
+    const url = asks.take(event.attempt, event.endpoint);
+    const round = rounds.get(event.reqId);
+    const open = round?.plan[round.held.length];
+    const expected =
+      round?.round === event.attempt && open?.endpoint === event.endpoint;
+    if (!round || !open || !expected) {
+      if (event.granted && !holds(round, event)) releaseLate(ctx, event, url);
+      return;
+    }
+    round.answerDueMs = Infinity;
+    if (!event.granted) return fail(ctx, round, 'refused');
+    const {sessionId} = event;
+    round.held.push({...open, sessionId});
+    if (!allMayTakeWork(ctx, round)) return fail(ctx, round, 'unavailable');
+    if (round.held.length < round.plan.length) return ask(ctx, round);
+    const {choice, held, candidates} = round;
+    const reason = `${choice.reason}, ${held.length} engines reserved`;
+    const reservations = [...held];
+    const whole = {...choice, reason, reservations};
+    parts.ready(ctx, round.reqId, whole, candidates);
+  }
+
+  /** A repeated answer names a session that the round holds already. */
+  function holds(
+    round: ReservationRound | undefined,
+    event: ReservationSettled,
+  ): boolean {
+    return (
+      round?.held.some(
+        held =>
+          held.endpoint === event.endpoint &&
+          held.sessionId === event.sessionId,
+      ) ?? false
+    );
+  }
+
+  function releaseLate(
+    ctx: RouterContext,
+    event: ReservationSettled,
+    askedUrl: string | undefined,
+  ): void {
+    const {endpoint, sessionId} = event;
+    const url = askedUrl ?? endpoints.get(endpoint)?.row.url;
+    if (url === undefined) return;
+    ctx.emit({kind: 'release_session', endpoint, url, sessionId});
+  }
+
+  function allMayTakeWork(
+    ctx: RouterContext,
+    round: ReservationRound,
+  ): boolean {
+    const {service} = round.choice.endpoint.row;
+    const usable = new Set(
+      endpoints.candidates(service, ctx.nowMs).map(view => view.row.name),
+    );
+    return round.plan.every(({endpoint}) => usable.has(endpoint));
+  }
+
+  function fail(
+    ctx: RouterContext,
+    round: ReservationRound,
+    reason: string,
+  ): void {
+    const {reqId, plan, held} = round;
+    const endpoint = plan[held.length]?.endpoint ?? '';
+    ctx.emit({
+      kind: 'write_log',
+      event: 'WL1005',
+      fields: {reqId, endpoint, engines: plan.length, reason},
+    });
+    release(ctx, reqId);
+    parts.refused(ctx, reqId);
+  }
+
+  function expire(ctx: RouterContext): void {
+    asks.expire(ctx.nowMs);
+    for (const round of [...rounds.values()]) {
+      if (ctx.nowMs >= round.answerDueMs) fail(ctx, round, 'no answer');
+    }
+  }
+
+  function release(ctx: RouterContext, reqId: string): void {
+    const round = rounds.get(reqId);
+    if (!round) return;
+    rounds.delete(reqId);
+    for (const {endpoint, url, sessionId} of round.held) {
+      ctx.emit({kind: 'release_session', endpoint, url, sessionId});
+    }
+  }
+
+  return {begin, settled, expire, release};
+}
--- a/packages/core/src/router/admission.ts
+++ b/packages/core/src/router/admission.ts
@@ -2,10 +2,12 @@
 import type {Drain} from '../drain/drain.js';
 import type {EndpointDirectory} from '../endpoints/endpoint_directory.js';
 import type {CustomerLimits} from '../limits/customer_limits.js';
+import type {EarlyRejection} from '../queue/early_rejection.js';
 import type {RequestQueue} from '../queue/request_queue.js';
 import {createAttemptHistory} from '../requests/attempt_history.js';
 import {decideOutcome} from '../requests/decide_outcome.js';
 import type {RequestTracker} from '../requests/request_tracker.js';
+import {kvFit} from '../reservations/kv_need.js';
 import type {TableFeature} from '../table/table_feature.js';
 import type {ClassRow} from '../types/class_row.js';
 import type {OutcomeCode} from '../types/outcome_code.js';
@@ -25,6 +27,7 @@
   queue: RequestQueue;
   tracker: RequestTracker;
   drain: Drain;
+  earlyRejection: EarlyRejection;
 }
 
 /** Admits or refuses a request that has arrived. */
@@ -46,13 +49,21 @@
     const cls = chosen.val;
     const problem = classProblem(ctx, event, cls);
     if (problem) return refuse(ctx, event, problem);
+    const state = createRequestState(ctx, event, customer, cls);
+    if (kvFit(state, endpoints) === 'none') {
+      return refuse(ctx, event, 'prompt_too_long');
+    }
+    const retryMs = parts.earlyRejection.onArrival(ctx, state.entry);
+    if (retryMs !== undefined) {
+      return refuse(ctx, event, 'overloaded', retryMs);
+    }
     const tokens = event.promptTokens + event.maxOutputTokens;
     const limit = limits.admit(ctx, customer, tokens);
     if (!limit.ok) {
       const {code, retryAfterMs} = limit.val;
       return refuse(ctx, event, code, retryAfterMs);
     }
-    tracker.admit(ctx, createRequestState(ctx, event, customer, cls));
+    tracker.admit(ctx, state);
     if (!cls.idempotent) {
       claims.request(ctx, {
         reqId: event.reqId,
--- a/packages/core/src/router/router_node.ts
+++ b/packages/core/src/router/router_node.ts
@@ -6,14 +6,15 @@
 import {createUnlimited} from '../limits/unlimited.js';
 import {createQueue} from '../queue/create_queue.js';
 import {createRequestTracker} from '../requests/request_tracker.js';
+import {createReservations} from '../reservations/reservations.js';
 import {createStrategy} from '../routing/create_strategy.js';
 import {createPrefixIndex} from '../routing/prefix_index.js';
-import {routeRequestOf} from '../routing/route_request_of.js';
 import {createTableFeature} from '../table/table_feature.js';
 import type {DecisionNode} from '../types/decision_node.js';
 import type {RouterAction} from './actions/router_action.js';
 import {createAdmission} from './admission.js';
 import {createDispatcher} from './dispatcher.js';
+import {createLoadPolicy} from './load_policy.js';
 import type {RouterEvent} from './events/router_event.js';
 import type {RouterConfig} from './router_config.js';
 import type {RouterContext} from './router_context.js';
@@ -34,20 +35,28 @@
     endpoints.syncRows(ctx, table.fold.rowsOf('endpoint'));
     prefixIndex.prune();
   });
+  const reservations = createReservations({
+    endpoints,
+    ready: (ctx, reqId, choice, candidates) =>
+      dispatcher.start(ctx, reqId, choice, candidates),
+    refused: (ctx, reqId) => tracker.backOff(ctx, reqId),
+  });
+  const policy = createLoadPolicy({
+    cfg,
+    queue,
+    strategy,
+    reservations,
+    reject: (ctx, reqId, retryAfterMs) =>
+      tracker.abort(ctx, reqId, 'refused', 'overloaded', retryAfterMs),
+  });
+  const {earlyRejection} = policy;
   const tracker = createRequestTracker({
     cfg,
     queue,
     endpoints,
-    observer: {
-      admitted: (ctx, state) =>
-        strategy.admitted(routeRequestOf(state), ctx.nowMs),
-      firstPart: (ctx, state) => {
-        const elapsedMs = ctx.nowMs - state.progressMs;
-        if (state.choice) strategy.firstToken(state.choice, elapsedMs);
-      },
-      attemptFailed: () => undefined,
-    },
+    observer: policy.observer,
     onEnd: (ctx, state, outcome) => {
+      policy.requestEnded(ctx, state, outcome);
       limits.release(ctx, state.entry.customer);
       if (!state.idempotent) claims.ended(ctx, state.entry.reqId, outcome);
     },
@@ -67,8 +76,16 @@
     queue,
     tracker,
     drain,
+    earlyRejection,
+  });
+  const dispatcher = createDispatcher({
+    queue,
+    tracker,
+    endpoints,
+    strategy,
+    reservations,
+    earlyRejection,
   });
-  const dispatch = createDispatcher({queue, tracker, endpoints, strategy});
 
   const requests: RouterFeature = {
     handlers: {
@@ -78,6 +95,7 @@
       attempt_delta: tracker.delta,
       attempt_ended: tracker.ended,
       attempt_failed: tracker.failed,
+      reservation_settled: reservations.settled,
       endpoint_report: endpoints.report,
       endpoint_unreachable: (ctx, event) =>
         endpoints.unreachable(ctx, event.endpoint),
@@ -85,10 +103,12 @@
     },
     expire: ctx => {
       tracker.expire(ctx);
+      reservations.expire(ctx);
+      earlyRejection.sweep(ctx);
       drain.advance(ctx, tracker.size());
     },
     settle: ctx => {
-      dispatch(ctx);
+      dispatcher.dispatch(ctx);
       drain.advance(ctx, tracker.size());
     },
   };
