--- a/packages/core/src/endpoints/create_endpoint_view.ts
+++ b/packages/core/src/endpoints/create_endpoint_view.ts
@@ -9,6 +9,8 @@
     outstanding: 0,
     sentTokens: 0,
     peerSentTokens: 0,
+    pendingTokens: 0,
+    prefillSeen: {work: 0, ms: 0},
     leavingIncarnation: undefined,
     blockedUntilMs: 0,
     consecutiveFailures: 0,
--- a/packages/core/src/endpoints/endpoint_directory.ts
+++ b/packages/core/src/endpoints/endpoint_directory.ts
@@ -29,11 +29,15 @@
   /** Sets the prompt tokens sent by other routers since the last report. */
   setPeerSent(name: string, tokens: number): void;
   attemptStarted(name: string, promptTokens: number): void;
+  /** The attempt's prefill is over: its first token came or it ended. */
+  prefillEnded(name: string, promptTokens: number): void;
   attemptEnded(ctx: RouterContext, name: string, ok: boolean): void;
   /** Endpoints of a service that may take new work now. */
   candidates(service: string, nowMs: number): EndpointView[];
   /** Whether any endpoint of the table serves the service. */
   serves(service: string): boolean;
+  /** Rows of all endpoints of a service. */
+  rowsOf(service: string): EndpointRow[];
   get(name: string): EndpointView | undefined;
   all(): Iterable<EndpointView>;
 }
@@ -45,6 +49,7 @@
   const views = new Map<string, EndpointView>();
   const leaving = createLeavingState();
   const doubts = createPeerDoubts();
+  const byService = new Map<string, EndpointView[]>();
 
   function syncRows(
     ctx: RouterContext,
@@ -68,6 +73,7 @@
       else views.set(row.name, createEndpointView(row));
     }
     doubts.tableRead(tableNext);
+    groupByService();
     ctx.emit({
       kind: 'watch_endpoints',
       endpoints: rows
@@ -132,6 +138,13 @@
     view.outstanding += 1;
     view.sentTokens += promptTokens;
     listener.sent(name, promptTokens);
+    view.pendingTokens += promptTokens;
+  }
+
+  function prefillEnded(name: string, promptTokens: number): void {
+    const view = views.get(name);
+    if (!view) return;
+    view.pendingTokens = Math.max(0, view.pendingTokens - promptTokens);
   }
 
   function attemptEnded(ctx: RouterContext, name: string, ok: boolean): void {
@@ -159,9 +172,8 @@
   }
 
   function candidates(service: string, nowMs: number): EndpointView[] {
-    return [...views.values()].filter(
+    return viewsOf(service).filter(
       view =>
-        view.row.service === service &&
         view.row.desired === 'serving' &&
         view.leavingIncarnation === undefined &&
         view.blockedUntilMs <= nowMs &&
@@ -169,6 +181,19 @@
     );
   }
 
+  function groupByService(): void {
+    byService.clear();
+    for (const view of views.values()) {
+      const group = byService.get(view.row.service);
+      if (group) group.push(view);
+      else byService.set(view.row.service, [view]);
+    }
+  }
+
+  function viewsOf(service: string): EndpointView[] {
+    return byService.get(service) ?? [];
+  }
+
   return {
     syncRows,
     report,
@@ -177,10 +202,11 @@
     hear,
     setPeerSent,
     attemptStarted,
+    prefillEnded,
     attemptEnded,
     candidates,
-    serves: service =>
-      [...views.values()].some(view => view.row.service === service),
+    serves: service => byService.has(service),
+    rowsOf: service => viewsOf(service).map(view => view.row),
     get: name => views.get(name),
     all: () => views.values(),
   };
--- a/packages/core/src/endpoints/endpoint_view.ts
+++ b/packages/core/src/endpoints/endpoint_view.ts
@@ -1,4 +1,5 @@
 import type {EndpointRow} from '../types/endpoint_row.js';
+import type {PrefillSeen} from './prefill_seen.js';
 import type {EndpointReport} from '../router/events/endpoint_report.js';
 
 /** What a router knows of an endpoint. */
@@ -12,6 +13,10 @@
   sentTokens: number;
   /** The same for other routers, as far as they have told. */
   peerSentTokens: number;
+  /** Prompt tokens of this router's attempts without a first token yet. */
+  pendingTokens: number;
+  /** Prefill work and time observed lately, for the engine's own rate. */
+  prefillSeen: PrefillSeen;
   /** Incarnation that is leaving; empty if no report has named it yet. */
   leavingIncarnation: string | undefined;
   /** Monotonic time until which the endpoint gets no work after failures. */
--- a/packages/core/src/mocks/router_events.ts
+++ b/packages/core/src/mocks/router_events.ts
@@ -13,6 +13,8 @@
     incarnation: 1,
     peers: [],
     strategy: 'least_outstanding',
+    queue: 'fifo',
+    longPromptTokens: 16_384,
     firstTokenTimeoutMs: 2_000,
     idleTimeoutMs: 1_000,
     drainNoticeMs: 500,
--- a/packages/core/src/router/router_config.ts
+++ b/packages/core/src/router/router_config.ts
@@ -1,3 +1,4 @@
+import type {QueueName} from '../queue/queue_name.js';
 import type {StrategyName} from '../routing/strategy_name.js';
 
 /** Settings of a router's decisions. */
@@ -10,6 +11,9 @@
   /** Peer addresses to join by, `IP:PORT`; the own one may be among them. */
   peers: string[];
   strategy: StrategyName;
+  queue: QueueName;
+  /** Prompts with more tokens than this go to the long lane. */
+  longPromptTokens: number;
   /** Silence before the first part of an answer, in milliseconds. */
   firstTokenTimeoutMs: number;
   /** Silence between parts of an answer, in milliseconds. */
--- a/packages/core/src/router/router_node.ts
+++ b/packages/core/src/router/router_node.ts
@@ -9,14 +9,17 @@
 import {isSessionInUse} from '../orphans/is_session_in_use.js';
 import type {AliveMembers} from '../membership/alive_members.js';
 import {createSharedLimits} from '../limits/shared_limits.js';
-import {FifoQueue} from '../queue/fifo_queue.js';
+import {createQueue} from '../queue/create_queue.js';
 import {createRequestTracker} from '../requests/request_tracker.js';
+import {createReservations} from '../reservations/reservations.js';
 import {createStrategy} from '../routing/create_strategy.js';
+import {createPrefixIndex} from '../routing/prefix_index.js';
 import {createTableFeature} from '../table/table_feature.js';
 import type {DecisionNode} from '../types/decision_node.js';
 import type {RouterAction} from './actions/router_action.js';
 import {createAdmission} from './admission.js';
 import {createDispatcher} from './dispatcher.js';
+import {createLoadPolicy} from './load_policy.js';
 import type {RouterEvent} from './events/router_event.js';
 import type {RouterConfig} from './router_config.js';
 import type {RouterContext} from './router_context.js';
@@ -34,7 +37,9 @@
 ): DecisionNode<RouterEvent, RouterAction> {
   const endpointGossip = createEndpointGossip(cfg, () => endpoints);
   const endpoints = createEndpointDirectory(endpointGossip);
-  const queue = new FifoQueue();
+  const queue = createQueue(cfg);
+  const prefixIndex = createPrefixIndex(endpoints);
+  const strategy = createStrategy(cfg, prefixIndex.cachedPrefix);
   const membership = createMembership({
     cfg,
     endpoints: endpointGossip,
@@ -44,8 +49,11 @@
   const table = createTableFeature({
     members,
     retentionMs: cfg.tableRetentionMs,
-    onChange: ctx =>
-      endpoints.syncRows(ctx, table.fold.rowsOf('endpoint'), table.fold.next()),
+    onChange: ctx => {
+      const {fold} = table;
+      endpoints.syncRows(ctx, fold.rowsOf('endpoint'), fold.next());
+      prefixIndex.prune();
+    },
   });
   const limits = createSharedLimits({
     members,
@@ -56,11 +64,28 @@
       return row?.type === 'customer' ? row : undefined;
     },
   });
+  const reservations = createReservations({
+    endpoints,
+    ready: (ctx, reqId, choice, candidates) =>
+      dispatcher.start(ctx, reqId, choice, candidates),
+    refused: (ctx, reqId) => tracker.backOff(ctx, reqId),
+  });
+  const policy = createLoadPolicy({
+    cfg,
+    queue,
+    strategy,
+    reservations,
+    reject: (ctx, reqId, retryAfterMs) =>
+      tracker.abort(ctx, reqId, 'refused', 'overloaded', retryAfterMs),
+  });
+  const {earlyRejection} = policy;
   const tracker = createRequestTracker({
     cfg,
     queue,
     endpoints,
+    observer: policy.observer,
     onEnd: (ctx, state, outcome) => {
+      policy.requestEnded(ctx, state, outcome);
       limits.release(ctx, state.entry.customer);
       if (!state.idempotent) claims.ended(ctx, state.entry.reqId, outcome);
     },
@@ -74,7 +99,6 @@
   };
   const claims = createClaimsFeature(cfg, members, claimListener);
   const drain = createDrain({noticeMs: cfg.drainNoticeMs, cutAll});
-  const strategy = createStrategy(cfg.strategy);
   const admit = createAdmission({
     cfg,
     table,
@@ -84,8 +108,16 @@
     queue,
     tracker,
     drain,
+    earlyRejection,
+  });
+  const dispatcher = createDispatcher({
+    queue,
+    tracker,
+    endpoints,
+    strategy,
+    reservations,
+    earlyRejection,
   });
-  const dispatch = createDispatcher({queue, tracker, endpoints, strategy});
 
   const requests: RouterFeature = {
     handlers: {
@@ -95,6 +127,7 @@
       attempt_delta: tracker.delta,
       attempt_ended: tracker.ended,
       attempt_failed: tracker.failed,
+      reservation_settled: reservations.settled,
       endpoint_report: endpoints.report,
       endpoint_unreachable: (ctx, event) =>
         endpoints.unreachable(ctx, event.endpoint),
@@ -102,10 +135,12 @@
     },
     expire: ctx => {
       tracker.expire(ctx);
+      reservations.expire(ctx);
+      earlyRejection.sweep(ctx);
       drain.advance(ctx, tracker.size() + claims.unrecorded(ctx));
     },
     settle: ctx => {
-      dispatch(ctx);
+      dispatcher.dispatch(ctx);
       drain.advance(ctx, tracker.size() + claims.unrecorded(ctx));
     },
   };
@@ -128,6 +163,7 @@
     createReadinessFeature(table, drain),
     endpointGossip,
     requests,
+    prefixIndex,
     claims,
     limits,
     membership,
--- a/packages/core/src/shared/log_events.ts
+++ b/packages/core/src/shared/log_events.ts
@@ -25,6 +25,11 @@
     text: 'late or crossed answer dropped',
     action: 'None; shows that an old attempt still delivered.',
   },
+  WL1005: {
+    level: 'info',
+    text: 'reservation failed, everything held was released',
+    action: 'None unless it repeats; the request is retried after a backoff.',
+  },
   WL2001: {
     level: 'info',
     text: 'table change applied',
@@ -50,6 +55,21 @@
     text: 'log records passed out of retention before they were read',
     action: 'If it persists, no snapshot or peer has the missing records.',
   },
+  WL3001: {
+    level: 'info',
+    text: 'claim decided',
+    action: 'None; shows the verdict, the sends it took and the wait.',
+  },
+  WL3002: {
+    level: 'warn',
+    text: 'claim outcome not recorded',
+    action: 'Check the platform log service; the key reads as unknown.',
+  },
+  WL3003: {
+    level: 'warn',
+    text: 'start of claims partition out of retention',
+    action: 'Check that retention is longer than the maximum key age.',
+  },
   WL4001: {
     level: 'info',
     text: 'member alive',
@@ -75,21 +95,6 @@
     text: 'own address known with a later start',
     action: 'Check for a second process and for a clock that was set back.',
   },
-  WL3001: {
-    level: 'info',
-    text: 'claim decided',
-    action: 'None; shows the verdict, the sends it took and the wait.',
-  },
-  WL3002: {
-    level: 'warn',
-    text: 'claim outcome not recorded',
-    action: 'Check the platform log service; the key reads as unknown.',
-  },
-  WL3003: {
-    level: 'warn',
-    text: 'start of claims partition out of retention',
-    action: 'Check that retention is longer than the maximum key age.',
-  },
   WL5001: {
     level: 'info',
     text: 'endpoint changed state',
@@ -100,6 +105,11 @@
     text: 'orphaned session released',
     action: 'Check the owner if it is alive; the reason says what was wrong.',
   },
+  WL5101: {
+    level: 'info',
+    text: 'gap in cache events, full listing requested',
+    action: 'None; choices ignore the lost part of the cache until it comes.',
+  },
   WL7001: {
     level: 'info',
     text: 'table edit settled',
--- a/packages/router/src/router_program.ts
+++ b/packages/router/src/router_program.ts
@@ -132,6 +132,8 @@
     failureDomain: cfg.vm.failure_domain,
     incarnation,
     strategy: cfg.routing.strategy,
+    queue: cfg.routing.queue,
+    longPromptTokens: cfg.routing.long_prompt_tokens,
     firstTokenTimeoutMs: cfg.timeouts.first_token,
     idleTimeoutMs: cfg.timeouts.idle,
     drainNoticeMs: cfg.timeouts.drain_notice,
--- a/packages/router/src/settings.ts
+++ b/packages/router/src/settings.ts
@@ -44,6 +44,15 @@
       help: 'How endpoints are chosen; the others are baselines.',
       fallback: 'expected_cost',
     }),
+    queue: choice(['fair', 'fifo'], {
+      help: 'Order of waiting requests; fifo is a baseline.',
+      fallback: 'fair',
+    }),
+    long_prompt_tokens: integer(1, 10_000_000, {
+      help: 'Longer prompts go to the lane for long ones.',
+      unit: 'tokens',
+      fallback: '16384',
+    }),
     max_waiting: integer(1, 1_000_000, {
       help: 'Requests that may wait at once; more are refused.',
       unit: 'requests',
