--- a/packages/core/src/routing/long_share.ts
+++ b/packages/core/src/routing/long_share.ts
@@ -5,8 +5,12 @@
 const PRIOR_WORK = 200_000;
 /** A wanted size must differ by this much before the subset changes. */
 const HYSTERESIS_ENGINES = 0.75;
-/** Short prompts come in bursts and get this many times their mean share. */
-const SHORT_HEADROOM = 2;
+/**
+ * Short prompts come in bursts, so they get their mean share of the engines
+ * plus this many times its square root; 0.5 and 1 let them time out at 150%
+ * of capacity.
+ */
+const BURST_FACTOR = 1.5;
 /** Largest share of the engines for long prompts, by objective. */
 const MAX_SHARE: Record<Objective, number> = {
   completion: 0.9,
@@ -75,8 +79,9 @@
     const total = sums.short + sums.long;
     const maxShare = total > 0 ? sums.weighted / total : MAX_SHARE.first_token;
     const shortShare = total > 0 ? sums.short / total : 0.5;
-    const share = Math.min(maxShare, 1 - SHORT_HEADROOM * shortShare);
-    const wanted = engines * share;
+    const forShort = engines * shortShare;
+    const spare = engines - forShort - BURST_FACTOR * Math.sqrt(forShort);
+    const wanted = Math.min(engines * maxShare, spare);
     const most = Math.max(1, engines - 1);
     const outside = Math.abs(wanted - sums.size) > HYSTERESIS_ENGINES;
     if (outside) sums.size = Math.round(wanted);
