Let callers of the limits model arrive evenly

Change: offered load is spread evenly, so that a load that does not change keeps each router active; the bounds of the check are the same.

--- a/packages/core/src/mocks/virtual_limit_fleet.ts
+++ b/packages/core/src/mocks/virtual_limit_fleet.ts
@@ -48,6 +48,8 @@
   const addresses = Array.from({length: size}, (_, i) => `10.0.0.${i}:7001`);
   const nodes = new Map<string, VirtualLimitNode>();
   const offered = new Map<string, number>();
+  /** Part of a request that each process's callers have yet to offer. */
+  const owed = new Map<string, number>();
   const admitted: AdmittedRequest[] = [];
   let nowMs = 0;
   let incarnation = 0;
@@ -92,9 +94,10 @@
 
   function offer(node: VirtualLimitNode): void {
     const rate = offered.get(node.address) ?? 0;
-    const expected = (rate * STEP_MS) / 1_000;
-    let count = Math.floor(expected);
-    if (random() < expected - count) count += 1;
+    // Even arrivals, since a random gap would make a router idle.
+    const due = (owed.get(node.address) ?? 0) + (rate * STEP_MS) / 1_000;
+    const count = Math.floor(due);
+    owed.set(node.address, due - count);
     for (let i = 0; i < count; i++) {
       const tokens = 1 + Math.floor(random() * MAX_TOKENS);
       const emitted: RouterAction[] = [];
