Decide the lease by the order of the log

A record names the newest record its author had read and is valid if no valid record lies between; for readers of the whole stream this reaches the verdicts of the old rule, and a trimmed reader can contend.

--- /dev/null
+++ b/packages/core/src/lease/lease.test.ts
@@ -0,0 +1,136 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  createLeaseClient,
+  DURATION_MS,
+  type LeaseClient,
+} from './mocks/lease_client.js';
+import {createTestLog} from './mocks/test_log.js';
+
+const MARGIN_MS = DURATION_MS / 10;
+
+function acquire(client: LeaseClient): void {
+  client.read();
+  client.passUntilSent();
+  client.deliver();
+  client.read();
+}
+
+function held(client: LeaseClient): number | undefined {
+  return client.hold()?.token;
+}
+
+const CASES: Record<string, () => void> = {
+  'of two contenders the first in the log holds the lease': () => {
+    const log = createTestLog();
+    const [a, b] = ['a', 'bb'].map(name => createLeaseClient(log, name));
+    assert.ok(a && b);
+    for (const client of [a, b]) {
+      client.read();
+      client.passUntilSent();
+    }
+    b.deliver();
+    a.deliver();
+    a.read();
+    b.read();
+    assert.equal(held(b), 0);
+    assert.equal(held(a), undefined);
+  },
+  'after a lost answer the first record counts, with its time': () => {
+    const log = createTestLog();
+    const a = createLeaseClient(log, 'a');
+    a.read();
+    a.passUntilSent();
+    const sentMs = a.nowMs();
+    a.deliver('unknown');
+    a.passUntilSent();
+    a.deliver();
+    a.read();
+    assert.equal(held(a), 0);
+    assert.equal(a.hold()?.validUntilMs, sentMs + DURATION_MS);
+  },
+  'a holder woken after its validity holds nothing': () => {
+    const log = createTestLog();
+    const [a, b] = ['a', 'bb'].map(name => createLeaseClient(log, name));
+    assert.ok(a && b);
+    acquire(a);
+    a.passUntilSent();
+    a.deliver('unknown');
+    b.read();
+    a.pause(3 * DURATION_MS);
+    assert.equal(held(a), undefined);
+    assert.ok(b.passUntilSent() > DURATION_MS + MARGIN_MS);
+    b.deliver();
+    b.read();
+    a.read();
+    assert.equal(held(a), undefined);
+    assert.equal(held(b), 2);
+  },
+  'a renewal read back after the end does not revive the lease': () => {
+    const log = createTestLog();
+    const a = createLeaseClient(log, 'a');
+    acquire(a);
+    a.pass(DURATION_MS / 2);
+    a.deliver('unknown');
+    a.pass(DURATION_MS / 2);
+    a.read();
+    assert.equal(held(a), undefined);
+  },
+  'in a log outage the lease ends at its validity': () => {
+    const log = createTestLog();
+    const a = createLeaseClient(log, 'a');
+    acquire(a);
+    const untilMs = a.hold()?.validUntilMs ?? 0;
+    while (a.nowMs() + 10 < untilMs) {
+      a.pass(10);
+      a.deliver('not_appended');
+      assert.equal(held(a), 0);
+    }
+    a.pass(20);
+    assert.equal(held(a), undefined);
+  },
+  'after a release nobody waits for the duration': () => {
+    const log = createTestLog();
+    const [a, b] = ['a', 'bb'].map(name => createLeaseClient(log, name));
+    assert.ok(a && b);
+    acquire(a);
+    b.read();
+    a.release();
+    assert.equal(held(a), undefined);
+    a.deliver();
+    b.read();
+    assert.ok(b.passUntilSent() < DURATION_MS / 2);
+    b.deliver();
+    b.read();
+    assert.equal(held(b), 2);
+  },
+  'a restarted process does not take over its own old lease': () => {
+    const log = createTestLog();
+    acquire(createLeaseClient(log, 'vm-1#1'));
+    const restarted = createLeaseClient(log, 'vm-1#2');
+    restarted.read();
+    assert.ok(restarted.passUntilSent() > DURATION_MS + MARGIN_MS);
+    restarted.deliver();
+    restarted.read();
+    assert.equal(held(restarted), 1);
+  },
+  'a reader of a trimmed stream waits, then agrees with full readers': () => {
+    const log = createTestLog(1);
+    const full = createLeaseClient(log, 'full');
+    acquire(full);
+    const noise = {type: 'acquire', id: 'x', holder: 'x', base: -1};
+    log.append('lease', JSON.stringify({...noise, durationMs: DURATION_MS}));
+    const late = createLeaseClient(log, 'late');
+    late.read();
+    assert.ok(late.passUntilSent() > DURATION_MS + MARGIN_MS);
+    full.read();
+    full.pause(2 * DURATION_MS);
+    late.deliver();
+    late.read();
+    full.read();
+    assert.equal(held(late), 2);
+    assert.ok(full.passUntilSent() > DURATION_MS + MARGIN_MS);
+  },
+};
+
+for (const [name, run] of Object.entries(CASES)) test(name, run);
--- /dev/null
+++ b/packages/core/src/lease/lease_action.ts
@@ -0,0 +1,7 @@
+import type {Append} from '../router/actions/append.js';
+import type {Observe} from '../router/actions/observe.js';
+import type {Tail} from '../router/actions/tail.js';
+import type {WriteLog} from '../router/actions/write_log.js';
+
+/** Everything that the lease can do. */
+export type LeaseAction = Append | Observe | Tail | WriteLog;
--- /dev/null
+++ b/packages/core/src/lease/mocks/lease_client.ts
@@ -0,0 +1,93 @@
+import {createTestRandom} from '../../mocks/step_harness.js';
+import type {Append} from '../../router/actions/append.js';
+import {createLease} from '../create_lease.js';
+import type {LeaseAction} from '../lease_action.js';
+import type {LeaseContext} from '../lease_context.js';
+import type {LeaseHold} from '../lease_hold.js';
+import type {TestLog} from './test_log.js';
+
+/** Duration of the lease in tests. */
+export const DURATION_MS = 1_000;
+
+/** One process with a lease, a clock and a connection to the log. */
+export interface LeaseClient {
+  /** Time passes; appends are sent but not delivered. */
+  pass(ms: number): void;
+  /** Time passes until an append is sent; answers how long that took. */
+  passUntilSent(): number;
+  /** Time passes while the process does not run. */
+  pause(ms: number): void;
+  /** Delivers what was sent; answers the number of records appended. */
+  deliver(answer?: 'appended' | 'not_appended' | 'unknown'): number;
+  /** Reads the stream up to its end. */
+  read(): void;
+  release(): void;
+  hold(): LeaseHold | undefined;
+  nowMs(): number;
+}
+
+/** Creates a client; wall time jumps about, as nothing may depend on it. */
+export function createLeaseClient(
+  log: TestLog,
+  holder: string,
+  startMs = 5_000,
+): LeaseClient {
+  const lease = createLease({holder, durationMs: DURATION_MS});
+  const random = createTestRandom(holder.length);
+  let outbox: Append[] = [];
+  let clockMs = startMs;
+  let next = 0;
+
+  function run(work: (ctx: LeaseContext) => void): void {
+    const emit = (action: LeaseAction): void => {
+      if (action.kind === 'append') outbox.push(action);
+    };
+    const wallMs = 1.7e12 * random();
+    const ctx = {nowMs: clockMs, wallMs, random, emit};
+    lease.expire(ctx);
+    work(ctx);
+    lease.settle(ctx);
+  }
+
+  function pass(ms: number): void {
+    for (let passed = 0; passed < ms; passed += 10) {
+      clockMs += 10;
+      run(() => undefined);
+    }
+  }
+
+  function passUntilSent(): number {
+    const fromMs = clockMs;
+    while (outbox.length === 0) pass(10);
+    return clockMs - fromMs;
+  }
+
+  run(ctx => lease.start(ctx));
+
+  return {
+    pass,
+    passUntilSent,
+    pause: ms => {
+      clockMs += ms;
+    },
+    deliver: (answer = 'appended') => {
+      const sent = outbox;
+      outbox = [];
+      for (const {stream, data, appendId} of sent) {
+        const lands = answer !== 'not_appended';
+        const offset = lands ? log.append(stream, data) : -1;
+        const event = {kind: 'append_settled' as const, appendId};
+        run(() => lease.appendSettled({...event, result: answer, offset}));
+      }
+      return sent.length;
+    },
+    read: () => {
+      const event = log.read('lease', next);
+      next = event.end;
+      run(ctx => lease.logRead(ctx, event));
+    },
+    release: () => run(lease.release),
+    hold: () => lease.hold(clockMs),
+    nowMs: () => clockMs,
+  };
+}
--- a/packages/core/src/shared/log_events.ts
+++ b/packages/core/src/shared/log_events.ts
@@ -45,6 +45,31 @@
     text: 'endpoint changed state',
     action: 'Check the endpoint if it is not leaving on purpose.',
   },
+  WL6001: {
+    level: 'info',
+    text: 'placement decision',
+    action: 'None; shows the replicas of a model, the demand and the engines.',
+  },
+  WL6002: {
+    level: 'info',
+    text: 'order sent to an endpoint',
+    action: 'None; shows the order and the fencing token.',
+  },
+  WL6003: {
+    level: 'info',
+    text: 'lease changed state',
+    action: 'If it expires again and again, check the platform log service.',
+  },
+  WL6004: {
+    level: 'warn',
+    text: 'order not carried out',
+    action: 'Check the endpoint if it repeats; the order is sent again.',
+  },
+  WL6005: {
+    level: 'warn',
+    text: 'weight store refused a load',
+    action: 'Raise the load interval if it repeats; the load is tried again.',
+  },
   WL9001: {
     level: 'info',
     text: 'process started',
--- a/packages/core/src/shared/metrics.ts
+++ b/packages/core/src/shared/metrics.ts
@@ -35,4 +35,24 @@
     help: 'Offset of the next table record expected.',
     labels: [],
   },
+  lease_held: {
+    type: 'gauge',
+    help: 'Whether this placer holds the lease, 0 or 1.',
+    labels: [],
+  },
+  placement_demand: {
+    type: 'gauge',
+    help: 'Average demand in replicas, by model.',
+    labels: ['model'],
+  },
+  placement_replicas: {
+    type: 'gauge',
+    help: 'Replicas decided, by model.',
+    labels: ['model'],
+  },
+  placement_orders_total: {
+    type: 'counter',
+    help: 'Orders ended, by kind and result.',
+    labels: ['kind', 'result'],
+  },
 } as const;
