Place models on engines under the lease

Cause: nothing decided which engine holds which model. Change: adds the placer node. It follows the table and the lease, averages the demand that load reports show, decides replicas with hysteresis, chooses engines by failure domain and rendezvous hashing, and in each round orders what reported and planned state differ in. Unloads wait until every planned replica is ready and at least half of the lease is left; loads wait for the weight store, at random distances. A new lease starts without anything known under an older one. Load reports may carry role and adapters.

--- /dev/null
+++ b/packages/core/src/placement/actions/placer_action.ts
@@ -0,0 +1,10 @@
+import type {LeaseAction} from '../../lease/lease_action.js';
+import type {Exit} from '../../router/actions/exit.js';
+import type {SetReady} from '../../router/actions/set_ready.js';
+import type {WatchEndpoints} from '../../router/actions/watch_endpoints.js';
+import type {RequestWeights} from './request_weights.js';
+import type {SendOrder} from './send_order.js';
+
+/** Everything that a placer can do. */
+export type PlacerAction =
+  Exit | LeaseAction | RequestWeights | SendOrder | SetReady | WatchEndpoints;
--- /dev/null
+++ b/packages/core/src/placement/mocks/placer_process.ts
@@ -0,0 +1,183 @@
+import assert from 'node:assert/strict';
+import type {Append} from '../../router/actions/append.js';
+import type {LogStream} from '../../types/log_stream.js';
+import type {PlacerAction} from '../actions/placer_action.js';
+import type {SendOrder} from '../actions/send_order.js';
+import type {PlacerEvent} from '../events/placer_event.js';
+import {createPlacerNode} from '../placer_node.js';
+import {placerConfig} from './placer_config.js';
+import type {WorldNetwork} from './world_network.js';
+
+const REPORT_INTERVAL_MS = 500;
+const LOST_ANSWER_MS = 400;
+
+/** One start of a placer on a machine with a clock of its own. */
+export interface PlacerProcess {
+  /** Performs what was left to do, then takes what has arrived. */
+  run(): void;
+  push(event: PlacerEvent): void;
+  /** Token of the lease that the process believes to hold. */
+  believes(): number | undefined;
+  exited(): boolean;
+}
+
+interface Tail {
+  next: number;
+  /** True time of the next read; infinite while one is under way. */
+  readAtMs: number;
+  /** Whether a read has told where the stream ends since the last fault. */
+  known: boolean;
+}
+
+/** Creates a process; `rate` is the speed of its clock. */
+export function createPlacerProcess(
+  world: WorldNetwork,
+  machine: number,
+  start: number,
+  rate: number,
+): PlacerProcess {
+  const node = createPlacerNode(placerConfig(`vm-${machine}#${start}`));
+  const tails = new Map<LogStream, Tail>();
+  let inbox: PlacerEvent[] = [];
+  let undone: PlacerAction[] = [];
+  let watched: string[] = [];
+  let reportAtMs = 0;
+  let exited = false;
+
+  // An arbitrary origin, so that no decision can compare two clocks.
+  const clockMs = (): number => 1_000 * machine + world.nowMs() * rate;
+  const delayMs = (): number => world.delayMs(machine);
+  const unreachable = (): boolean => world.faulty('cut', machine);
+
+  function push(event: PlacerEvent): void {
+    inbox.push(event);
+  }
+
+  function step(event: PlacerEvent): void {
+    const nowMs = clockMs();
+    const wallMs = 1.7e12 * world.random();
+    const input = {event, nowMs, wallMs, random: world.random};
+    for (const action of node.step(input)) {
+      if (action.kind === 'send_order') {
+        const token = node.hold(nowMs)?.token;
+        assert.equal(action.token, token, 'order without its lease');
+      }
+      undone.push(action);
+    }
+  }
+
+  function perform(action: PlacerAction): void {
+    switch (action.kind) {
+      case 'append':
+        append(action);
+        return;
+      case 'send_order':
+        sendOrder(action);
+        return;
+      case 'request_weights': {
+        const {requestId} = action;
+        const granted = !unreachable() && world.random() < 0.8;
+        world.after(delayMs(), () =>
+          push({kind: 'weights_settled', requestId, granted}),
+        );
+        return;
+      }
+      case 'tail':
+        tails.set(action.stream, {
+          next: action.from,
+          readAtMs: 0,
+          known: false,
+        });
+        return;
+      case 'watch_endpoints':
+        watched = action.endpoints.map(({name}) => name);
+        return;
+      case 'exit':
+        exited = true;
+    }
+  }
+
+  function append({appendId, stream, data}: Append): void {
+    const settle = (result: 'appended' | 'not_appended' | 'unknown') =>
+      push({kind: 'append_settled', appendId, result, offset: -1});
+    if (world.faulty('outage') || unreachable()) {
+      settle('not_appended');
+      return;
+    }
+    world.after(delayMs(), () => {
+      world.log.append(stream, data);
+      if (world.faulty('lost_answers')) {
+        world.after(LOST_ANSWER_MS, () => settle('unknown'));
+      } else {
+        world.after(delayMs(), () => settle('appended'));
+      }
+    });
+  }
+
+  function sendOrder(action: SendOrder): void {
+    const {orderId} = action;
+    const settle = (
+      result: 'accepted' | 'expired' | 'failed' | 'stale_token',
+    ) => push({kind: 'order_settled', orderId, result});
+    if (clockMs() >= action.notAfterMs) return settle('expired');
+    if (unreachable()) return settle('failed');
+    world.checkWrite(action.token);
+    world.after(delayMs(), () => {
+      const accepted = world.engines.get(action.endpoint)?.order(action);
+      const result = accepted ? 'accepted' : 'stale_token';
+      world.after(delayMs(), () => settle(result));
+    });
+  }
+
+  function readLog(): void {
+    for (const [stream, tail] of tails) {
+      if (world.nowMs() < tail.readAtMs) continue;
+      if (world.faulty('outage') || unreachable()) {
+        tail.readAtMs = world.nowMs() + 250;
+        tail.known = false;
+        push({kind: 'log_read_failed', stream});
+        continue;
+      }
+      const read = world.log.read(stream, tail.next);
+      const missed = read.earliest > tail.next;
+      if (read.records.length === 0 && !missed && tail.known) continue;
+      // One read at a time, as the log tail does.
+      tail.readAtMs = Infinity;
+      world.after(delayMs(), () => {
+        tail.readAtMs = 0;
+        tail.known = true;
+        tail.next = read.end;
+        push(read);
+      });
+    }
+  }
+
+  function readReports(): void {
+    if (world.nowMs() < reportAtMs || unreachable()) return;
+    reportAtMs = world.nowMs() + REPORT_INTERVAL_MS;
+    for (const name of watched) {
+      const report = world.engines.get(name)?.report();
+      if (report) world.after(delayMs(), () => push(report));
+    }
+  }
+
+  function run(): void {
+    if (exited) return;
+    const actions = undone;
+    undone = [];
+    for (const action of actions) perform(action);
+    readLog();
+    readReports();
+    step({kind: 'tick'});
+    const events = inbox;
+    inbox = [];
+    for (const event of events) step(event);
+  }
+
+  return {
+    run,
+    push,
+    believes: () => node.hold(clockMs())?.token,
+    exited: () => exited,
+  };
+}
--- /dev/null
+++ b/packages/core/src/placement/mocks/placer_world.ts
@@ -0,0 +1,144 @@
+import assert from 'node:assert/strict';
+import {createTestLog} from '../../lease/mocks/test_log.js';
+import {endpointRow} from '../../mocks/rows.js';
+import {createTestRandom} from '../../mocks/step_harness.js';
+import {additions, editAt} from '../../mocks/table_records.js';
+import type {EndpointRow} from '../../types/endpoint_row.js';
+import {createFleetEngine, type FleetEngine} from './fleet_engine.js';
+import {modelRow} from './model_rows.js';
+import type {PlacerFault} from './placer_fault.js';
+import {createPlacerProcess, type PlacerProcess} from './placer_process.js';
+import type {WorldNetwork} from './world_network.js';
+
+const TICK_MS = 50;
+/** Ratio of two clocks; less than the margin of the lease. */
+const RATES = [0.97, 1, 1.03];
+const PLACERS = 3;
+/** Fewer records than a gap of a few seconds, so that readers miss some. */
+const RETENTION = 8;
+/** Longest delay of a message while a placer is slow. */
+const SLOW_MS = 1_500;
+const EDIT_AT_MS = 6_000;
+
+/** Engines that check tokens and engines that do not, in three domains. */
+export function fleetRows(): EndpointRow[] {
+  return [1, 2, 3, 4].map(n =>
+    endpointRow({
+      name: `engine-${n}`,
+      failureDomain: `amman-${n % 3}`,
+      checksFencing: n % 2 === 0,
+    }),
+  );
+}
+
+/** State of the engines after the run. */
+export interface WorldEnd {
+  engines: FleetEngine[];
+  /** Leases that were held in the run. */
+  leases: number;
+}
+
+/**
+ * Runs placers against a log and engines under faults, and checks at every
+ * tick of true time that at most one believes to hold the lease.
+ */
+export function runPlacerWorld(
+  seed: number,
+  faults: PlacerFault[],
+  endMs: number,
+): WorldEnd {
+  const random = createTestRandom(seed);
+  const due = new Map<number, (() => void)[]>();
+  const rows = fleetRows();
+  const engines = rows.map(row =>
+    createFleetEngine(row.name, row.checksFencing),
+  );
+  const tokens = new Set<number>();
+  let nowMs = 0;
+  let starts = 0;
+
+  const world: WorldNetwork = {
+    log: createTestLog(RETENTION),
+    engines: new Map(engines.map(engine => [engine.name, engine])),
+    random,
+    nowMs: () => nowMs,
+    checkWrite,
+    after: (ms, work) => {
+      const tick = Math.floor((nowMs + ms) / TICK_MS) + 1;
+      due.set(tick, [...(due.get(tick) ?? []), work]);
+    },
+    delayMs: machine =>
+      random() * (world.faulty('slow', machine) ? SLOW_MS : 60),
+    faulty: (kind, target) =>
+      faults.some(
+        fault =>
+          fault.kind === kind &&
+          nowMs >= fault.fromMs &&
+          nowMs < fault.fromMs + fault.forMs &&
+          (target === undefined || fault.target === target),
+      ),
+  };
+
+  function startPlacer(machine: number): PlacerProcess {
+    starts += 1;
+    const rate = RATES[machine % RATES.length] ?? 1;
+    return createPlacerProcess(world, machine, starts, rate);
+  }
+
+  function edit(version: string, offset: number, base: number): void {
+    const model = modelRow({version});
+    const first = offset === 0 ? additions(rows) : [];
+    const key = 'model/coder' as const;
+    const changes = [...first, {key, base, row: model}];
+    world.log.append('table', editAt(offset, changes).data);
+  }
+
+  edit('1', 0, 0);
+  const placers = Array.from({length: PLACERS}, (_, i) => startPlacer(i));
+
+  function applyFaults(): void {
+    for (const {kind, target, fromMs} of faults) {
+      if (fromMs < nowMs || fromMs >= nowMs + TICK_MS) continue;
+      const placer = placers[target % PLACERS];
+      if (kind === 'crash') placers[target % PLACERS] = startPlacer(target);
+      if (kind === 'stop') placer?.push({kind: 'stop_requested'});
+      if (kind === 'restart') engines[target % engines.length]?.restart();
+    }
+  }
+
+  function believedTokens(): number[] {
+    return placers
+      .map(placer => placer.believes())
+      .filter(token => token !== undefined);
+  }
+
+  function checkWrite(token: number): void {
+    for (const believed of believedTokens()) {
+      assert.equal(token, believed, `order of an old lease at ${nowMs} ms`);
+    }
+  }
+
+  function check(): void {
+    const believed = believedTokens();
+    assert.ok(
+      believed.length <= 1,
+      `two holders at ${nowMs} ms, tokens ${believed.join()}`,
+    );
+    for (const token of believed) tokens.add(token);
+  }
+
+  for (; nowMs < endMs; nowMs += TICK_MS) {
+    if (nowMs === EDIT_AT_MS) edit('2', 1, 1);
+    applyFaults();
+    for (const work of due.get(nowMs / TICK_MS) ?? []) work();
+    due.delete(nowMs / TICK_MS);
+    check();
+    for (const [machine, placer] of placers.entries()) {
+      if (world.faulty('pause', machine)) continue;
+      placer.run();
+      if (placer.exited()) placers[machine] = startPlacer(machine);
+      check();
+    }
+  }
+  return {engines, leases: tokens.size};
+}
--- /dev/null
+++ b/packages/core/src/placement/orders/engine_order.ts
@@ -0,0 +1,7 @@
+import type {LoadAdapter} from './load_adapter.js';
+import type {LoadModel} from './load_model.js';
+import type {SetRole} from './set_role.js';
+import type {UnloadModel} from './unload_model.js';
+
+/** An order to an engine; harmless when repeated. */
+export type EngineOrder = LoadAdapter | LoadModel | SetRole | UnloadModel;
--- /dev/null
+++ b/packages/core/src/placement/orders/load_model.ts
@@ -0,0 +1,6 @@
+/** Loads a model; no effect if it is there. */
+export interface LoadModel {
+  kind: 'load_model';
+  model: string;
+  version: string;
+}
--- /dev/null
+++ b/packages/core/src/placement/placer_context.ts
@@ -0,0 +1,5 @@
+import type {StepContext} from '../types/step_context.js';
+import type {PlacerAction} from './actions/placer_action.js';
+
+/** Step context of the placer's parts. */
+export type PlacerContext = StepContext<PlacerAction>;
--- a/packages/core/src/router/events/endpoint_report.ts
+++ b/packages/core/src/router/events/endpoint_report.ts
@@ -1,3 +1,4 @@
+import type {EngineRole} from '../../types/engine_role.js';
 import type {EngineSession} from '../../types/engine_session.js';
 
 /** An endpoint's own load report; older than it looks. */
@@ -16,4 +17,7 @@
   sessions: EngineSession[];
   /** Models that the engine holds, written `NAME@VERSION`. */
   models: string[];
+  /** Adapters that the engine holds, written `MODEL/ADAPTER`, if it says. */
+  adapters?: string[];
+  role?: EngineRole;
 }
