Run the placer as a program

Cause: the placer's decisions had no process. The log adapter and the load watcher of the router move to the runtime, as both programs use them.

--- /dev/null
+++ b/packages/placer/src/action_handlers.ts
@@ -0,0 +1,17 @@
+import type {PlacerAction} from '@wisterialadder/core/placement/actions/placer_action.js';
+
+/** Handlers registered by the kind of action. */
+export type ActionHandlers = {
+  [K in PlacerAction['kind']]: (
+    action: Extract<PlacerAction, {kind: K}>,
+  ) => void;
+};
+
+/** Passes an action to the handler of its kind. */
+export function performAction(
+  handlers: ActionHandlers,
+  action: PlacerAction,
+): void {
+  const handler = handlers[action.kind] as (action: PlacerAction) => void;
+  handler(action);
+}
--- a/packages/router/src/router_program.ts
+++ b/packages/router/src/router_program.ts
@@ -3,6 +3,7 @@
 import type {RouterAction} from '@wisterialadder/core/router/actions/router_action.js';
 import type {RouterEvent} from '@wisterialadder/core/router/events/router_event.js';
 import type {Finish} from '@wisterialadder/core/router/actions/finish.js';
+import {createLoadWatcher} from '@wisterialadder/runtime/endpoints/load_watcher.js';
 import {startHttpServer} from '@wisterialadder/runtime/http/http_server.js';
 import {startOpsServer} from '@wisterialadder/runtime/http/ops_server.js';
 import type {Readiness} from '@wisterialadder/runtime/http/readiness.js';
@@ -13,6 +14,7 @@
 import {createMetrics} from '@wisterialadder/runtime/metrics/create_metrics.js';
 import {startPeerTransport} from '@wisterialadder/runtime/peers/peer_transport.js';
 import {HttpLogClient} from '@wisterialadder/runtime/platform/http_log_client.js';
+import {createLogAdapter} from '@wisterialadder/runtime/platform/log_adapter.js';
 import type {
   Program,
   ProgramRun,
@@ -22,9 +24,7 @@
 import {callerRoutes} from './caller/caller_routes.js';
 import type {OpenRequests} from './caller/open_requests.js';
 import {createAttemptRunner} from './endpoint/attempt_runner.js';
-import {createLoadWatcher} from './endpoint/load_watcher.js';
 import {createSessionClient} from './endpoint/session_client.js';
-import {createLogAdapter} from './platform/log_adapter.js';
 import {startVmListReader} from './platform/vm_list_reader.js';
 import {ROUTER_SETTINGS} from './settings.js';
 
--- a/packages/router/src/endpoint/load_report.ts
+++ b/packages/runtime/src/endpoints/load_report.ts
@@ -20,4 +20,6 @@
     }),
   ),
   models: z.array(z.string()),
+  adapters: z.array(z.string()).optional(),
+  role: z.enum(['mixed', 'prefill', 'decode']).optional(),
 });
--- a/packages/router/src/endpoint/load_watcher.ts
+++ b/packages/runtime/src/endpoints/load_watcher.ts
@@ -1,7 +1,8 @@
 import {request} from 'undici';
 import type {WatchedEndpoint} from '@wisterialadder/core/router/actions/watch_endpoints.js';
-import type {RouterEvent} from '@wisterialadder/core/router/events/router_event.js';
-import type {Disposable} from '@wisterialadder/runtime/lifecycle/disposable.js';
+import type {EndpointReport} from '@wisterialadder/core/router/events/endpoint_report.js';
+import type {EndpointUnreachable} from '@wisterialadder/core/router/events/endpoint_unreachable.js';
+import type {Disposable} from '../lifecycle/disposable.js';
 import {LOAD_REPORT} from './load_report.js';
 
 const READ_TIMEOUT_MS = 1_000;
@@ -14,7 +15,7 @@
 /** Creates a watcher of no endpoints. */
 export function createLoadWatcher(
   intervalMs: number,
-  push: (event: RouterEvent) => void,
+  push: (event: EndpointReport | EndpointUnreachable) => void,
 ): LoadWatcher {
   const timers = new Map<string, NodeJS.Timeout>();
   const urls = new Map<string, string>();
--- a/packages/router/src/platform/log_adapter.ts
+++ b/packages/runtime/src/platform/log_adapter.ts
@@ -1,10 +1,14 @@
 import type {Append} from '@wisterialadder/core/router/actions/append.js';
 import type {StopTail} from '@wisterialadder/core/router/actions/stop_tail.js';
 import type {Tail} from '@wisterialadder/core/router/actions/tail.js';
-import type {RouterEvent} from '@wisterialadder/core/router/events/router_event.js';
-import type {Disposable} from '@wisterialadder/runtime/lifecycle/disposable.js';
-import type {LogClient} from '@wisterialadder/runtime/platform/log_client.js';
-import {startLogTail} from '@wisterialadder/runtime/platform/log_tail.js';
+import type {AppendSettled} from '@wisterialadder/core/router/events/append_settled.js';
+import type {LogRead} from '@wisterialadder/core/router/events/log_read.js';
+import type {LogReadFailed} from '@wisterialadder/core/router/events/log_read_failed.js';
+import type {Disposable} from '../lifecycle/disposable.js';
+import type {LogClient} from './log_client.js';
+import {startLogTail} from './log_tail.js';
+
+type LogEvent = AppendSettled | LogRead | LogReadFailed;
 
 /** Follows and appends to streams of the platform's log. */
 export interface LogAdapter extends Disposable {
@@ -16,7 +20,7 @@
 /** Creates an adapter that follows no stream yet. */
 export function createLogAdapter(
   client: LogClient,
-  push: (event: RouterEvent) => boolean,
+  push: (event: LogEvent) => boolean,
 ): LogAdapter {
   const tails = new Map<string, Disposable>();
 
--- a/scripts/process_tests/mocks.mjs
+++ b/scripts/process_tests/mocks.mjs
@@ -62,7 +62,8 @@
   return metric(router, 'wl_table_offset');
 }
 
-async function metric(router, name) {
+/** Value of a metric of a process; 0 if it has none. */
+export async function metric(router, name) {
   const res = await fetch(`http://${router.ops}/metrics`);
   const lines = (await res.text()).split('\n');
   const line = lines.find(candidate => candidate.startsWith(`${name} `));
