Read each watched endpoint in one loop only

Cause: an endpoint that was forgotten and watched anew while its report was being read kept two read loops for good. The placer watches nothing without the lease, so this happens at a quick change of the lease. Found by reading; no run showed it. Change: a loop goes on only while its own watch is the present one.

--- a/packages/runtime/src/endpoints/load_watcher.ts
+++ b/packages/runtime/src/endpoints/load_watcher.ts
@@ -17,46 +17,53 @@
   intervalMs: number,
   push: (event: EndpointReport | EndpointUnreachable) => void,
 ): LoadWatcher {
-  const timers = new Map<string, NodeJS.Timeout>();
-  const urls = new Map<string, string>();
+  const watches = new Map<string, Watch>();
 
   function watch(endpoints: WatchedEndpoint[]): void {
     const names = new Set(endpoints.map(({name}) => name));
-    for (const name of [...urls.keys()]) {
+    for (const name of [...watches.keys()]) {
       if (!names.has(name)) forget(name);
     }
     for (const {name, url} of endpoints) {
-      const known = urls.has(name);
-      urls.set(name, url);
-      if (!known) void readAndSchedule(name);
+      const known = watches.get(name);
+      if (known) known.url = url;
+      else {
+        const added: Watch = {url, timer: undefined};
+        watches.set(name, added);
+        void readAndSchedule(name, added);
+      }
     }
   }
 
   function forget(name: string): void {
-    clearTimeout(timers.get(name));
-    timers.delete(name);
-    urls.delete(name);
+    clearTimeout(watches.get(name)?.timer);
+    watches.delete(name);
   }
 
-  async function readAndSchedule(name: string): Promise<void> {
-    const url = urls.get(name);
-    if (url === undefined) return;
-    const report = await readReport(url);
-    if (!urls.has(name)) return;
+  async function readAndSchedule(name: string, own: Watch): Promise<void> {
+    const report = await readReport(own.url);
+    // An endpoint may be forgotten and watched anew while it is read; only
+    // the new watch goes on then.
+    if (watches.get(name) !== own) return;
     if (report) push({kind: 'endpoint_report', endpoint: name, ...report});
     else push({kind: 'endpoint_unreachable', endpoint: name});
-    const timer = setTimeout(() => void readAndSchedule(name), intervalMs);
-    timers.set(name, timer);
+    own.timer = setTimeout(() => void readAndSchedule(name, own), intervalMs);
   }
 
   return {
     watch,
     dispose: () => {
-      for (const name of [...urls.keys()]) forget(name);
+      for (const name of [...watches.keys()]) forget(name);
     },
   };
 }
 
+/** One endpoint that is being watched. */
+interface Watch {
+  url: string;
+  timer: NodeJS.Timeout | undefined;
+}
+
 async function readReport(url: string) {
   try {
     const res = await request(`${url}/wl/load`, {
