Keep one replica where demand could not return

Cause: demand shows only in load reports of engines that hold a model, so a model whose last replica is given up never gets one again. The rule for the last replica also depended on an average reaching exactly 0. Change: one replica stays unless the row allows none. The model test also checks that tokens never go back; a lease case covers the wall clock.

--- a/packages/core/src/lease/lease.test.ts
+++ b/packages/core/src/lease/lease.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {createTestRandom} from '../mocks/step_harness.js';
 import {
   createLeaseClient,
   DURATION_MS,
@@ -104,6 +105,19 @@
     b.read();
     assert.equal(held(b), 2);
   },
+  'no decision depends on the wall clock': () => {
+    const walls = [() => 1, createTestRandom(3)];
+    const untilMs = walls.map(wall => {
+      const client = createLeaseClient(createTestLog(), 'a', wall);
+      acquire(client);
+      client.passUntilSent();
+      client.deliver();
+      client.read();
+      return client.hold()?.validUntilMs;
+    });
+    assert.ok(untilMs[0]);
+    assert.equal(untilMs[0], untilMs[1]);
+  },
   'a restarted process does not take over its own old lease': () => {
     const log = createTestLog();
     acquire(createLeaseClient(log, 'vm-1#1'));
--- a/packages/core/src/lease/mocks/lease_client.ts
+++ b/packages/core/src/lease/mocks/lease_client.ts
@@ -26,23 +26,23 @@
   nowMs(): number;
 }
 
-/** Creates a client; wall time jumps about, as nothing may depend on it. */
+/** Creates a client; its wall clock jumps about unless it is given. */
 export function createLeaseClient(
   log: TestLog,
   holder: string,
-  startMs = 5_000,
+  wall: () => number = createTestRandom(7),
 ): LeaseClient {
   const lease = createLease({holder, durationMs: DURATION_MS});
   const random = createTestRandom(holder.length);
   let outbox: Append[] = [];
-  let clockMs = startMs;
+  let clockMs = 5_000;
   let next = 0;
 
   function run(work: (ctx: LeaseContext) => void): void {
     const emit = (action: LeaseAction): void => {
       if (action.kind === 'append') outbox.push(action);
     };
-    const wallMs = 1.7e12 * random();
+    const wallMs = 1.7e12 * wall();
     const ctx = {nowMs: clockMs, wallMs, random, emit};
     lease.expire(ctx);
     work(ctx);
--- a/packages/core/src/placement/mocks/placer_world.ts
+++ b/packages/core/src/placement/mocks/placer_world.ts
@@ -54,6 +54,7 @@
     createFleetEngine(row.name, row.checksFencing),
   );
   const tokens = new Set<number>();
+  let newestToken = -1;
   let nowMs = 0;
   let starts = 0;
 
@@ -124,7 +125,11 @@
       believed.length <= 1,
       `two holders at ${nowMs} ms, tokens ${believed.join()}`,
     );
-    for (const token of believed) tokens.add(token);
+    for (const token of believed) {
+      assert.ok(token >= newestToken, `token ${token} at ${nowMs} ms is old`);
+      newestToken = token;
+      tokens.add(token);
+    }
   }
 
   for (; nowMs < endMs; nowMs += TICK_MS) {
--- a/packages/core/src/placement/placer_node.test.ts
+++ b/packages/core/src/placement/placer_node.test.ts
@@ -76,18 +76,26 @@
   assert.deepEqual(watch, {kind: 'watch_endpoints', endpoints: []});
 });
 
-for (const [demand, wanted] of [
-  [1.5, 2],
-  [1.59, 2],
-  [1.7, 3],
-  [0.6, 2],
-  [0.4, 1],
+for (const [holding, demand, maxReplicas, wanted] of [
+  [2, 1.5, 9, 2],
+  [2, 1.59, 9, 2],
+  [2, 1.7, 9, 3],
+  [2, 0.6, 9, 2],
+  [2, 0.4, 9, 1],
+  // Without a replica no load report would show demand again.
+  [1, 0, 9, 1],
+  [0, 0, 9, 1],
+  [1, 0, 0, 0],
+  [2, 9, 3, 3],
 ] as const) {
-  test(`two replicas under a demand of ${demand} become ${wanted}`, () => {
+  const name = `${holding} replicas, demand ${demand}, most ${maxReplicas}`;
+  test(`replicas with hysteresis and bounds: ${name}`, () => {
     const counts = createReplicaCounts(1_000);
-    const row = modelRow({minReplicas: 0, maxReplicas: 9});
-    const decide = (nowMs: number) => counts.decide(nowMs, row, demand, 2);
-    assert.equal(decide(0), demand > 1.6 ? wanted : 2);
+    const row = modelRow({minReplicas: 0, maxReplicas});
+    const decide = (nowMs: number) =>
+      counts.decide(nowMs, row, demand, holding);
+    const first = decide(0);
+    if (wanted < holding && maxReplicas > 0) assert.equal(first, holding);
     assert.equal(decide(1_100), wanted);
   });
 }
--- a/packages/core/src/placement/replica_counts.ts
+++ b/packages/core/src/placement/replica_counts.ts
@@ -39,7 +39,7 @@
     if (demand > count * GROW_ABOVE) {
       state.count = Math.ceil(demand / GROW_ABOVE);
     }
-    if (demand > (count - 1) * SHRINK_BELOW || count === 0) {
+    if (demand > (count - 1) * SHRINK_BELOW) {
       state.lowSinceMs = undefined;
     } else {
       state.lowSinceMs ??= nowMs;
@@ -48,13 +48,19 @@
         state.lowSinceMs = nowMs;
       }
     }
-    state.count = clamp(state.count, row.minReplicas, row.maxReplicas);
+    state.count = clamp(state.count, row);
     return state.count;
   }
 
   return {decide};
 }
 
-function clamp(value: number, min: number, max: number): number {
-  return Math.min(Math.max(value, min), Math.max(min, max));
+/**
+ * Demand shows only in the load reports of engines that hold the model, so
+ * one replica stays unless the row allows none at all.
+ */
+function clamp(count: number, row: ModelRow): number {
+  const most = Math.max(row.minReplicas, row.maxReplicas);
+  const least = Math.min(most, Math.max(1, row.minReplicas));
+  return Math.min(most, Math.max(least, count));
 }
