--- a/packages/core/src/endpoints/endpoint_gossip.ts
+++ b/packages/core/src/endpoints/endpoint_gossip.ts
@@ -13,6 +13,8 @@
 import {createVmDepartures} from './vm_departures.js';
 
 const MAX_NOTICES_PER_MESSAGE = 6;
+/** A shorter partition may end unnoticed, with every message lost in it. */
+const MIN_SENDING_MS = 10_000;
 
 /** Spreads endpoint state and sent work between routers. */
 export interface EndpointGossip extends EndpointListener, RouterFeature {
@@ -34,21 +36,21 @@
   cfg: Pick<RouterConfig, 'address' | 'incarnation'>,
   endpoints: () => EndpointDirectory,
 ): EndpointGossip {
-  const queue = createGossipQueue<EndpointNotice>();
+  const queue = createGossipQueue<EndpointNotice>({minAgeMs: MIN_SENDING_MS});
   const stamps = createNoticeStamps(cfg.incarnation);
   const work = createPeerWork(cfg, endpoints);
   const vmDepartures = createVmDepartures(endpoints);
   let unpushed = false;
 
-  function enqueue(notice: EndpointNotice): void {
-    queue.put(`${notice.state}/${notice.endpoint}`, notice);
+  function enqueue(ctx: RouterContext, notice: EndpointNotice): void {
+    queue.put(ctx.nowMs, `${notice.state}/${notice.endpoint}`, notice);
     unpushed = true;
   }
 
-  function changed(_ctx: RouterContext, change: EndpointChange): void {
+  function changed(ctx: RouterContext, change: EndpointChange): void {
     const {tableNext, ...rest} = change;
     const stamp = change.state === 'withdrawn' ? tableNext : stamps.next();
-    enqueue({...rest, origin: cfg.address, stamp});
+    enqueue(ctx, {...rest, origin: cfg.address, stamp});
   }
 
   function read(
@@ -60,7 +62,7 @@
       if (notice.origin === cfg.address && notice.state === 'failed') continue;
       // A failure notice that comes round again must not renew the doubt.
       if (notice.state === 'failed' && !stamps.isNew(ctx, notice)) continue;
-      if (endpoints().hear(ctx, notice)) enqueue(notice);
+      if (endpoints().hear(ctx, notice)) enqueue(ctx, notice);
     }
     work.read(ctx, workNotices);
   }
@@ -80,7 +82,7 @@
     reported: work.reported,
     sent: work.sent,
     write: (ctx, maxSends) => ({
-      endpoints: queue.take(MAX_NOTICES_PER_MESSAGE, maxSends),
+      endpoints: queue.take(ctx.nowMs, MAX_NOTICES_PER_MESSAGE, maxSends),
       work: work.write(ctx),
     }),
     read,
--- a/packages/core/src/endpoints/peer_work.ts
+++ b/packages/core/src/endpoints/peer_work.ts
@@ -66,14 +66,14 @@
 
   function enqueue(madeMs: number, notice: WorkNotice): QueuedWork {
     const queued = {notice, madeMs};
-    queue.put(`${notice.origin}|${notice.endpoint}`, queued);
+    queue.put(madeMs, `${notice.origin}|${notice.endpoint}`, queued);
     return queued;
   }
 
   function write(ctx: RouterContext): WorkNotice[] {
     collect(ctx);
     return queue
-      .take(MAX_NOTICES_PER_MESSAGE, MAX_SENDS)
+      .take(ctx.nowMs, MAX_NOTICES_PER_MESSAGE, MAX_SENDS)
       .map(({notice, madeMs}) => ({
         ...notice,
         ageMs: Math.round(ctx.nowMs - madeMs),
--- a/packages/core/src/membership/gossip_exchange.ts
+++ b/packages/core/src/membership/gossip_exchange.ts
@@ -6,7 +6,8 @@
 import {gossipSends} from './gossip_sends.js';
 import type {MemberTable} from './member_table.js';
 
-const MAX_MEMBERS_PER_MESSAGE = 6;
+/** The loss of a failure domain concerns a third of the members at once. */
+const MAX_MEMBERS_PER_MESSAGE = 12;
 
 /** Writes and reads the payload of membership messages. */
 export interface GossipExchange {
@@ -38,7 +39,7 @@
   function write(ctx: RouterContext, to: string, outdated = false): Gossip {
     const {failureDomain, refutation} = table.self();
     const sends = gossipSends(table.alive().length);
-    const members = updates.take(MAX_MEMBERS_PER_MESSAGE, sends);
+    const members = updates.take(ctx.nowMs, MAX_MEMBERS_PER_MESSAGE, sends);
     const receiver = table.get(to)?.update;
     // A doubted receiver always learns of it, so that it can refute.
     const doubted = outdated || receiver?.status !== 'alive';
--- a/packages/core/src/membership/gossip_queue.ts
+++ b/packages/core/src/membership/gossip_queue.ts
@@ -1,32 +1,39 @@
 /** Updates that wait to be piggybacked, each a limited number of times. */
 export interface GossipQueue<T> {
   /** Adds an item or replaces the one with the same key. */
-  put(key: string, item: T): void;
+  put(nowMs: number, key: string, item: T): void;
   /** The least often sent items; each counts as sent once more. */
-  take(maxItems: number, maxSends: number): T[];
+  take(nowMs: number, maxItems: number, maxSends: number): T[];
 }
 
 /** Limits of a queue. */
 export interface GossipQueueOptions<T> {
-  /** Items kept; the last in order is dropped beyond it. */
+  /** Items kept once there are twice as many; the last in order go. */
   capacity: number;
   /** Order among items that were sent equally often. */
   compare(a: T, b: T): number;
+  /** Items are sent for at least this long, however often that is. */
+  minAgeMs: number;
 }
 
+const NO_LIMITS: GossipQueueOptions<unknown> = {
+  capacity: Number.POSITIVE_INFINITY,
+  compare: () => 0,
+  minAgeMs: 0,
+};
+
 interface QueuedItem<T> {
   key: string;
   item: T;
   sends: number;
+  queuedMs: number;
 }
 
 /** Creates an empty queue, without limits unless they are given. */
 export function createGossipQueue<T>(
-  options: GossipQueueOptions<T> = {
-    capacity: Number.POSITIVE_INFINITY,
-    compare: () => 0,
-  },
+  over: Partial<GossipQueueOptions<T>> = {},
 ): GossipQueue<T> {
+  const options: GossipQueueOptions<T> = {...NO_LIMITS, ...over};
   const queued = new Map<string, QueuedItem<T>>();
 
   function inOrder(): QueuedItem<T>[] {
@@ -35,19 +42,21 @@
     );
   }
 
-  function put(key: string, item: T): void {
-    queued.set(key, {key, item, sends: 0});
-    if (queued.size <= options.capacity) return;
-    const last = inOrder().at(-1);
-    if (last) queued.delete(last.key);
+  function put(nowMs: number, key: string, item: T): void {
+    queued.set(key, {key, item, sends: 0, queuedMs: nowMs});
+    // Ordering at every insertion would cost more than the spare items.
+    if (queued.size <= 2 * options.capacity) return;
+    const surplus = inOrder().slice(options.capacity);
+    for (const entry of surplus) queued.delete(entry.key);
   }
 
-  function take(maxItems: number, maxSends: number): T[] {
+  function take(nowMs: number, maxItems: number, maxSends: number): T[] {
     if (queued.size === 0) return [];
     const chosen = inOrder().slice(0, maxItems);
     for (const entry of chosen) {
       entry.sends += 1;
-      if (entry.sends >= maxSends) queued.delete(entry.key);
+      const old = nowMs - entry.queuedMs >= options.minAgeMs;
+      if (old && entry.sends >= maxSends) queued.delete(entry.key);
     }
     return chosen.map(entry => entry.item);
   }
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -53,7 +53,7 @@
     status: 'alive',
   };
   const table = createMemberTable(own, (ctx, update) => {
-    updates.put(update.address, update);
+    updates.put(ctx.nowMs, update.address, update);
     ctx.emit({
       kind: 'observe',
       metric: 'members_alive',
@@ -84,7 +84,10 @@
   function received(ctx: RouterContext, event: PeerReceived): void {
     const {from, fromIncarnation, message} = event;
     if (message.kind === 'table_offset') return;
+    const before = table.get(from)?.update.status;
     const current = exchange.read(ctx, from, fromIncarnation, message.gossip);
+    const now = table.get(from)?.update.status;
+    if (before !== 'alive' && now === 'alive') sync.reunited(ctx, from);
     switch (message.kind) {
       case 'probe':
         return ctx.emit({
--- a/packages/core/src/membership/probe_schedule.ts
+++ b/packages/core/src/membership/probe_schedule.ts
@@ -5,6 +5,8 @@
 
 /** Traffic between failure domains costs more than inside one. */
 const PERIODS_PER_REMOTE_PROBE = 4;
+/** A suspect elsewhere may mean that its whole failure domain is lost. */
+const PERIODS_PER_REMOTE_PROBE_IN_DOUBT = 2;
 
 /** Chooses whom to probe in each period; undefined if nobody is known. */
 export type ProbeSchedule = (ctx: RouterContext) => Member | undefined;
@@ -42,7 +44,13 @@
 
   return ctx => {
     period += 1;
-    if (period % PERIODS_PER_REMOTE_PROBE === 0) {
+    const doubt = table
+      .aliveOthers()
+      .some(m => m.update.status === 'suspect' && !isLocal(m));
+    const periods = doubt
+      ? PERIODS_PER_REMOTE_PROBE_IN_DOUBT
+      : PERIODS_PER_REMOTE_PROBE;
+    if (period % periods === 0) {
       return next(ctx, 'remote') ?? next(ctx, 'local');
     }
     return next(ctx, 'local') ?? next(ctx, 'remote');
--- a/packages/core/src/membership/state_sync.ts
+++ b/packages/core/src/membership/state_sync.ts
@@ -8,16 +8,23 @@
 import type {Contacts} from './contacts.js';
 import type {GossipExchange} from './gossip_exchange.js';
 import {isNewer} from './is_newer.js';
+import {bucketOf, hashBuckets} from './member_buckets.js';
 import type {MemberTable} from './member_table.js';
 
 const DIGEST_INTERVAL_MS = 30_000;
+/** Interval after a list that named unknown members, as when many start. */
+const CATCH_UP_INTERVAL_MS = 5_000;
 const CONTACT_INTERVAL_MS = 5_000;
 /** Interval of contacts while no other member is known. */
 const JOIN_INTERVAL_MS = 1_000;
+/** Bounds the digests while many members come back at once. */
+const REUNION_INTERVAL_MS = 10_000;
 
 /** Compares whole states with other routers, and finds routers to join. */
 export interface StateSync {
   expire(ctx: RouterContext): void;
+  /** A member that was unknown or doubted has sent a message. */
+  reunited(ctx: RouterContext, from: string): void;
   digest(ctx: RouterContext, from: string, message: MemberDigest): void;
   list(ctx: RouterContext, from: string, message: MemberList): void;
 }
@@ -34,6 +41,7 @@
 export function createStateSync(parts: StateSyncParts): StateSync {
   const {table, contacts, exchange, endpoints} = parts;
   let nextDigestMs: number | undefined;
+  let lastReunionMs = Number.NEGATIVE_INFINITY;
   let lastContactMs = Number.NEGATIVE_INFINITY;
 
   function expire(ctx: RouterContext): void {
@@ -51,21 +59,35 @@
     if (contact !== undefined) sendDigest(ctx, contact);
   }
 
+  /** Updates sent while the two could not talk were lost. */
+  function reunited(ctx: RouterContext, from: string): void {
+    if (ctx.nowMs - lastReunionMs < REUNION_INTERVAL_MS) return;
+    lastReunionMs = ctx.nowMs;
+    sendDigest(ctx, from);
+  }
+
   function sendDigest(ctx: RouterContext, to: string): void {
-    const gossip = exchange.write(ctx, to);
-    const message = {kind: 'member_digest', hash: stateHash(), gossip} as const;
-    ctx.emit({kind: 'send_peer', to, message});
+    ctx.emit({
+      kind: 'send_peer',
+      to,
+      message: {
+        kind: 'member_digest',
+        buckets: hashBuckets(liveUpdates()),
+        endpointHash: hashEndpoints(),
+        gossip: exchange.write(ctx, to),
+      },
+    });
   }
 
-  /** A sum, so that the order of members does not matter. */
-  function stateHash(): number {
-    let sum = 0;
-    for (const {update} of table.aliveOthers()) sum += hashMember(update);
-    sum += hashMember(table.self());
-    for (const notice of endpoints.active()) {
-      sum += hash32(`${notice.endpoint}@${notice.incarnation}`);
-    }
-    return sum;
+  function liveUpdates(): MemberUpdate[] {
+    return [table.self(), ...table.aliveOthers().map(({update}) => update)];
+  }
+
+  function hashEndpoints(): number {
+    return endpoints
+      .active()
+      .map(notice => hash32(`${notice.endpoint}@${notice.incarnation}`))
+      .reduce((sum, hash) => (sum + hash) >>> 0, 0);
   }
 
   function digest(
@@ -73,28 +95,42 @@
     from: string,
     message: MemberDigest,
   ): void {
-    if (message.hash === stateHash()) return;
-    sendList(ctx, from, allUpdates(), true);
+    const differing = hashBuckets(liveUpdates()).flatMap((hash, bucket) =>
+      hash === message.buckets[bucket] ? [] : [bucket],
+    );
+    const same = message.endpointHash === hashEndpoints();
+    if (differing.length === 0 && same) return;
+    sendList(ctx, from, differing, updatesIn(differing), true);
   }
 
   function list(ctx: RouterContext, from: string, message: MemberList): void {
     const theirs = new Map(message.members.map(u => [u.address, u]));
-    const lacking = allUpdates().filter(update => {
+    const lacking = updatesIn(message.buckets).filter(update => {
       const known = theirs.get(update.address);
       return !known || isNewer(update, known);
     });
+    const sizeBefore = table.alive().length;
     for (const update of message.members) table.apply(ctx, update);
+    if (table.alive().length > sizeBefore) {
+      const soonMs = ctx.nowMs + CATCH_UP_INTERVAL_MS;
+      nextDigestMs = Math.min(nextDigestMs ?? soonMs, soonMs);
+    }
     endpoints.read(ctx, message.endpoints, []);
-    if (message.wantsAnswer) sendList(ctx, from, lacking, false);
+    if (message.wantsAnswer) {
+      sendList(ctx, from, message.buckets, lacking, false);
+    }
   }
 
-  function allUpdates(): MemberUpdate[] {
-    return [table.self(), ...table.others().map(member => member.update)];
+  function updatesIn(buckets: number[]): MemberUpdate[] {
+    return [table.self(), ...table.others().map(({update}) => update)].filter(
+      update => buckets.includes(bucketOf(update.address)),
+    );
   }
 
   function sendList(
     ctx: RouterContext,
     to: string,
+    buckets: number[],
     members: MemberUpdate[],
     wantsAnswer: boolean,
   ): void {
@@ -103,6 +139,7 @@
       to,
       message: {
         kind: 'member_list',
+        buckets,
         members,
         endpoints: endpoints.active(),
         wantsAnswer,
@@ -111,10 +148,5 @@
     });
   }
 
-  return {expire, digest, list};
-}
-
-function hashMember(update: MemberUpdate): number {
-  const {address, incarnation, refutation} = update;
-  return hash32(`${address}#${incarnation}.${refutation}`);
+  return {expire, reunited, digest, list};
 }
--- a/packages/core/src/orphans/orphans.test.ts
+++ b/packages/core/src/orphans/orphans.test.ts
@@ -50,6 +50,7 @@
   const orphans = createOrphans({
     members: fakeMembers(statuses),
     endpoints,
+    hasPeers: true,
     knows: (_endpoint, session) => session.reqId === 'known',
   });
   const engine = createVirtualEngine('engine-1', 'amman-1');
@@ -87,7 +88,7 @@
     false,
   ],
   [
-    'a dead owner, if most others look dead as well',
+    'a dead owner, if all others look dead as well',
     {
       owner: `${OWNER}#5`,
       ownerStatus: 'dead',
--- a/packages/core/src/orphans/orphans.ts
+++ b/packages/core/src/orphans/orphans.ts
@@ -25,6 +25,8 @@
 export interface OrphansParts {
   members: Membership;
   endpoints: EndpointDirectory;
+  /** Whether other routers should exist, as the settings name some. */
+  hasPeers: boolean;
   /** Whether this router still uses a session that is listed as its own. */
   knows(endpoint: string, session: EngineSession): boolean;
 }
@@ -40,9 +42,7 @@
     const continuous =
       before?.incarnation === incarnation &&
       ctx.nowMs - before.reportMs <= REPORT_GAP_MS;
-    // A router that lost most of its peers is likely to be cut off itself, and
-    // silence proves nothing; the grace period starts when they are back.
-    const cutOff = members.dead().length > members.alive().length;
+    const cutOff = isCutOff();
     const sessions = new Map<string, SessionSighting>();
     for (const session of report.sessions) {
       const reason = judge(endpoint, session, cutOff);
@@ -58,6 +58,16 @@
     sightings.set(endpoint, {incarnation, reportMs: ctx.nowMs, sessions});
   }
 
+  /**
+   * A router that has no majority of its peers may be cut off itself, and then
+   * their silence proves nothing; the grace period starts when they are back.
+   */
+  function isCutOff(): boolean {
+    const alive = members.alive().length;
+    const alone = alive === 1 && parts.hasPeers;
+    return alone || members.dead().length >= alive;
+  }
+
   function judge(
     endpoint: string,
     session: EngineSession,
--- a/packages/core/src/router/messages/member_list.ts
+++ b/packages/core/src/router/messages/member_list.ts
@@ -5,9 +5,11 @@
 /** What the sender knows, or what the receiver's own list lacked. */
 export interface MemberList {
   kind: 'member_list';
+  /** Buckets of addresses that the list covers. */
+  buckets: number[];
   members: MemberUpdate[];
   endpoints: EndpointNotice[];
-  /** True if the list is complete and its sender wants what it lacks. */
+  /** True if the buckets are complete and the sender wants what it lacks. */
   wantsAnswer: boolean;
   gossip: Gossip;
 }
--- a/packages/core/src/router/router_node.ts
+++ b/packages/core/src/router/router_node.ts
@@ -93,6 +93,7 @@
   const orphans = createOrphans({
     members,
     endpoints,
+    hasPeers: cfg.peers.some(peer => peer !== cfg.address),
     knows: (endpoint, session) =>
       isSessionInUse(tracker.get(session.reqId), endpoint, session),
   });
