--- a/packages/router/src/endpoint/session_client.ts
+++ b/packages/router/src/endpoint/session_client.ts
@@ -40,7 +40,13 @@
       const res = await request(`${action.url}/wl/reservations`, {
         method: 'POST',
         headers: {'content-type': 'application/json', 'wl-owner': owner},
-        body: JSON.stringify({reqId, tokens, ttlMs, owner}),
+        body: JSON.stringify({
+          reqId,
+          owner,
+          // Engines take whole numbers; the core's clock has fractions.
+          tokens: Math.ceil(tokens),
+          ttlMs: Math.ceil(ttlMs),
+        }),
         ...TIMEOUTS,
       });
       const parsed = RESERVE_ANSWER.safeParse(await res.body.json());
--- a/scripts/fleet/fleet.mjs
+++ b/scripts/fleet/fleet.mjs
@@ -95,13 +95,14 @@
   }
 
   async function stop() {
-    for (const process of processes) {
-      if (!process.running()) continue;
-      process.kill('SIGCONT');
-      process.kill('SIGKILL');
+    for (const child of processes) {
+      if (!child.running()) continue;
+      child.kill('SIGCONT');
+      child.kill('SIGKILL');
     }
-    await Promise.all(processes.map(process => process.exited));
-    rmSync(dir, {recursive: true, force: true});
+    await Promise.all(processes.map(child => child.exited));
+    if (process.env.WL_KEEP_LOGS) console.log(`logs are in ${dir}`);
+    else rmSync(dir, {recursive: true, force: true});
   }
 
   return {dir, processes, start, platform, endpoint, router, ready, stop};
--- a/scripts/fleet/process.mjs
+++ b/scripts/fleet/process.mjs
@@ -69,3 +69,17 @@
     });
   });
 }
+
+/** Runs a program to its end and resolves with its output and exit code. */
+export async function runToEnd({name, bin, settings, dir}) {
+  const file = join(dir, `${name}.ini`);
+  writeFileSync(file, toIni(settings));
+  const child = spawn(process.execPath, [bin, '--config', file], {
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  child.stderr.pipe(createWriteStream(join(dir, `${name}.log`)));
+  const chunks = [];
+  child.stdout.on('data', chunk => chunks.push(chunk));
+  const code = await new Promise(resolve => child.once('close', resolve));
+  return {code, stdout: Buffer.concat(chunks).toString('utf8')};
+}
