--- a/packages/core/src/requests/request_tracker.test.ts
+++ b/packages/core/src/requests/create_request_tracker.test.ts
@@ -8,7 +8,7 @@
 import {createRequestState} from '../router/create_request_state.js';
 import type {AttemptFailure} from '../types/attempt_failure.js';
 import type {Outcome} from '../types/outcome.js';
-import {createRequestTracker} from './request_tracker.js';
+import {createRequestTracker} from './create_request_tracker.js';
 
 /** Outcome of a non-idempotent request whose only attempt fails. */
 function outcomeAfter(failure: AttemptFailure): Outcome | 'retried' {
--- /dev/null
+++ b/packages/core/src/requests/retry_refusal.ts
@@ -0,0 +1,26 @@
+import type {AttemptFailure} from '../types/attempt_failure.js';
+import type {OutcomeCode} from '../types/outcome_code.js';
+import type {RequestState} from './request_state.js';
+import type {RetryBudget} from './retry_budget.js';
+
+/** A retry with less time than this left cannot succeed. */
+const MIN_RETRY_MS = 100;
+
+/**
+ * Why a failed attempt is not followed by another one that starts at
+ * `retryAtMs`; undefined if it is, and then one retry of the budget is taken.
+ */
+export function retryRefusal(
+  state: RequestState,
+  failure: AttemptFailure,
+  nowMs: number,
+  retryAtMs: number,
+  budget: RetryBudget,
+): OutcomeCode | undefined {
+  if (failure === 'rejected') return 'endpoint_rejected';
+  const safe = state.idempotent || state.history.notRunProof() !== undefined;
+  if (!safe) return 'endpoint_broken';
+  const remainingMs = state.entry.deadlineMs - retryAtMs;
+  if (remainingMs < MIN_RETRY_MS) return 'endpoint_broken';
+  return budget.tryTake(nowMs) ? undefined : 'retry_budget';
+}
--- a/packages/core/src/router/router_node.ts
+++ b/packages/core/src/router/router_node.ts
@@ -10,7 +10,8 @@
 import type {AliveMembers} from '../membership/alive_members.js';
 import {createSharedLimits} from '../limits/shared_limits.js';
 import {createQueue} from '../queue/create_queue.js';
-import {createRequestTracker} from '../requests/request_tracker.js';
+import {createQueueGauges} from '../queue/queue_gauges.js';
+import {createRequestTracker} from '../requests/create_request_tracker.js';
 import {createReservations} from '../reservations/reservations.js';
 import {createStrategy} from '../routing/create_strategy.js';
 import {createPrefixIndex} from '../routing/prefix_index.js';
@@ -164,6 +165,7 @@
     createReadinessFeature(table, drain),
     endpointGossip,
     requests,
+    createQueueGauges(queue),
     prefixIndex,
     claims,
     limits,
