Refuse an answer that names another request

Cause: an engine that crosses answers could not be noticed, since nothing in the answer named its request. Change: engines echo wl-request-id and the router treats another id as a broken attempt; the stand-in can cross answers. Measured: process test with crossing always on: every completed answer is its own, attempts on the faulty engine end as broken.

--- a/packages/router/src/endpoint/attempt_runner.ts
+++ b/packages/router/src/endpoint/attempt_runner.ts
@@ -9,6 +9,7 @@
 import type {OpenRequests} from '../caller/open_requests.js';
 import type {AttemptSink} from './attempt_sink.js';
 import type {EndpointCodec} from './endpoint_codec.js';
+import type {EndpointResponse} from './endpoint_response.js';
 import {EngineCodec} from './engine_codec.js';
 import {ServiceCodec} from './service_codec.js';
 
@@ -67,7 +68,11 @@
       dispatcher: agent,
       signal: abort.signal,
     })
-      .then(res => codec.read(res, sink))
+      .then(res => {
+        if (belongsTo(res, action.reqId)) return codec.read(res, sink);
+        abort.abort();
+        return sink.failed('broken', false);
+      })
       .catch((err: unknown) => {
         if (!abort.signal.aborted) sink.failed(failureOf(err), false);
       })
@@ -99,6 +104,12 @@
   };
 }
 
+// An endpoint that echoes another request's id has crossed its answers.
+function belongsTo(res: EndpointResponse, reqId: string): boolean {
+  const echoed = res.headers['wl-request-id'];
+  return echoed === undefined || echoed === reqId;
+}
+
 function attemptKey(action: {reqId: string; attempt: number}): string {
   return `${action.reqId}/${action.attempt}`;
 }
--- a/packages/standins/src/engine/actions/begin_stream.ts
+++ b/packages/standins/src/engine/actions/begin_stream.ts
@@ -2,5 +2,7 @@
 export interface BeginStream {
   kind: 'begin_stream';
   callId: string;
+  /** Request that the answer belongs to, for the receiver to check. */
+  reqId: string;
   sessionId: string;
 }
--- a/packages/standins/src/engine/engine_faults.ts
+++ b/packages/standins/src/engine/engine_faults.ts
@@ -7,9 +7,17 @@
   /** Factor on every simulated cost. */
   slowFactor: number;
   leaving: boolean;
+  /** Probability that a stream gets the answer of the one before it. */
+  crossAnswers: number;
 }
 
 /** No faults. */
 export function noEngineFaults(): EngineFaults {
-  return {neverAnswer: 0, dieAfterParts: -1, slowFactor: 1, leaving: false};
+  return {
+    neverAnswer: 0,
+    dieAfterParts: -1,
+    slowFactor: 1,
+    leaving: false,
+    crossAnswers: 0,
+  };
 }
--- a/packages/standins/src/engine/http/engine_performer.ts
+++ b/packages/standins/src/engine/http/engine_performer.ts
@@ -26,6 +26,7 @@
           'content-type': 'text/event-stream',
           'cache-control': 'no-cache',
           'wl-session-id': action.sessionId,
+          'wl-request-id': action.reqId,
         });
         calls.get(action.callId)?.flushHeaders();
         return;
--- a/packages/standins/src/engine/http/faults_schema.ts
+++ b/packages/standins/src/engine/http/faults_schema.ts
@@ -7,5 +7,6 @@
     dieAfterParts: z.number().int().min(-1),
     slowFactor: z.number().positive(),
     leaving: z.boolean(),
+    crossAnswers: z.number().min(0).max(1),
   })
   .partial();
--- a/packages/standins/src/engine/sessions/stream_table.ts
+++ b/packages/standins/src/engine/sessions/stream_table.ts
@@ -41,6 +41,8 @@
   const batch = createBatch(cfg);
   let arrivals = 0;
 
+  let previous: ChatArrived | undefined;
+
   function inPhase(phase: StreamState['phase']): StreamState[] {
     return [...streams.values()].filter(stream => stream.phase === phase);
   }
@@ -74,7 +76,16 @@
   function begin(ctx: EngineContext, stream: StreamState): void {
     stream.phase = 'waiting';
     const {sessionId, request} = stream;
-    ctx.emit({kind: 'begin_stream', callId: request.callId, sessionId});
+    const {callId} = request;
+    const crossed = faults.crossAnswers > 0 && previous !== undefined;
+    if (crossed && ctx.random() < faults.crossAnswers) {
+      const {reqId, promptHash} = previous ?? request;
+      stream.request = {...request, reqId, promptHash};
+    } else {
+      previous = request;
+    }
+    const {reqId} = stream.request;
+    ctx.emit({kind: 'begin_stream', callId, reqId, sessionId});
   }
 
   function attached(ctx: EngineContext, callId: string, ok: boolean): void {
--- a/scripts/process_tests/endpoint_death.test.mjs
+++ b/scripts/process_tests/endpoint_death.test.mjs
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {chat, promptOf} from '../fleet/caller.mjs';
-import {until} from '../fleet/fleet.mjs';
+import {control, until} from '../fleet/fleet.mjs';
 import {engineMemoryFreed, fleetFor} from './mocks.mjs';
 
 const OPTIONS = {key: 'clerk-key', cls: 'lookup', maxTokens: 120};
@@ -73,3 +73,19 @@
   const [ended] = routers[0].logged('WL1002');
   assert.ok(ended.totalMs <= 1_500, `${ended.totalMs} ms`);
 });
+
+test('an answer that belongs to another request is never delivered', async t => {
+  const {engines, routers} = await fleetFor(t, {engines: 2, routers: 1});
+  const ask = seed =>
+    chat(routers[0].caller, {...OPTIONS, prompt: promptOf(600, seed)});
+  const seeds = ['a', 'b', 'c', 'd', 'e', 'f'];
+  const own = await Promise.all(seeds.map(ask));
+  await control(engines[0].url, {crossAnswers: 1});
+  const again = await Promise.all(seeds.map(ask));
+  for (const [i, answer] of again.entries()) {
+    if (answer.outcome !== 'completed') continue;
+    assert.equal(answer.text, own[i].text);
+  }
+  const broken = routers[0].logged('WL1003');
+  assert.ok(broken.some(line => line.endpoint === 'engine-1'));
+});
