Ask engines for reservations in whole milliseconds

Cause: the time to live was the difference of two monotonic times with fractions. Engines answered 400, which the router takes for a refusal, so a prompt over one engine's memory was retried until its timeout and never ran. Change: the session client rounds the time up before it encodes it.

--- a/packages/router/src/endpoint/session_client.ts
+++ b/packages/router/src/endpoint/session_client.ts
@@ -34,7 +34,9 @@
   push: (event: RouterEvent) => void,
 ): SessionClient {
   async function reserve(action: Reserve): Promise<void> {
-    const {reqId, attempt, endpoint, tokens, ttlMs} = action;
+    const {reqId, attempt, endpoint, tokens} = action;
+    // Engines take whole milliseconds; the monotonic clock has fractions.
+    const ttlMs = Math.ceil(action.ttlMs);
     let sessionId = '';
     try {
       const res = await request(`${action.url}/wl/reservations`, {
