Share message schema and settings sections; let reserved prompts pass

Change: one schema, common sections, a prompt with reserved memory passes; interfaces of the largest modules are files of their own. Before/after: the new engine test failed on the old code and passes now.

--- a/packages/admin/src/settings.ts
+++ b/packages/admin/src/settings.ts
@@ -1,3 +1,4 @@
+import {OPS_SECTION} from '@wisterialadder/runtime/settings/common_sections.js';
 import {
   address,
   integer,
@@ -16,9 +17,7 @@
       fallback: '4096',
     }),
   },
-  ops: {
-    listen: address({help: 'Address for metrics and probes.'}),
-  },
+  ops: OPS_SECTION,
   platform: {
     url: url({help: 'Address of the platform, whose log holds the table.'}),
   },
--- a/packages/core/src/endpoints/endpoint_state.test.ts
+++ b/packages/core/src/endpoints/endpoint_state.test.ts
@@ -4,7 +4,7 @@
 import {recordedContext} from '../mocks/router_context.js';
 import {createVirtualEngine} from '../mocks/virtual_engine.js';
 import type {EndpointNotice} from '../router/messages/endpoint_notice.js';
-import {createEndpointDirectory} from './endpoint_directory.js';
+import {createEndpointDirectory} from './create_endpoint_directory.js';
 import {createEndpointGossip, type EndpointGossip} from './endpoint_gossip.js';
 
 type Step =
--- a/packages/core/src/orphans/orphans.test.ts
+++ b/packages/core/src/orphans/orphans.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createEndpointDirectory} from '../endpoints/endpoint_directory.js';
+import {createEndpointDirectory} from '../endpoints/create_endpoint_directory.js';
 import type {MemberStatus} from '../membership/member_status.js';
 import type {Membership} from '../membership/membership.js';
 import {endpointRow} from '../mocks/rows.js';
--- a/packages/core/src/requests/create_request_tracker.test.ts
+++ b/packages/core/src/requests/create_request_tracker.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createEndpointDirectory} from '../endpoints/endpoint_directory.js';
+import {createEndpointDirectory} from '../endpoints/create_endpoint_directory.js';
 import {classRow, customerRow, endpointRow} from '../mocks/rows.js';
 import {recordedContext} from '../mocks/router_context.js';
 import {requestArrived, routerConfig} from '../mocks/router_events.js';
--- a/packages/core/src/router/router_node.ts
+++ b/packages/core/src/router/router_node.ts
@@ -2,7 +2,7 @@
 import {createClaimsFeature} from '../claims/claims_feature.js';
 import {isDuplicateCode} from '../claims/refusal_code.js';
 import {createDrain} from '../drain/drain.js';
-import {createEndpointDirectory} from '../endpoints/endpoint_directory.js';
+import {createEndpointDirectory} from '../endpoints/create_endpoint_directory.js';
 import {createEndpointGossip} from '../endpoints/endpoint_gossip.js';
 import {createMembership} from '../membership/membership.js';
 import {createOrphans} from '../orphans/orphans.js';
--- a/packages/core/src/routing/prefix_index.test.ts
+++ b/packages/core/src/routing/prefix_index.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createEndpointDirectory} from '../endpoints/endpoint_directory.js';
+import {createEndpointDirectory} from '../endpoints/create_endpoint_directory.js';
 import {endpointReport} from '../mocks/endpoint_report.js';
 import {recordedContext} from '../mocks/router_context.js';
 import {endpointRow} from '../mocks/rows.js';
--- a/packages/placer/src/settings.ts
+++ b/packages/placer/src/settings.ts
@@ -1,20 +1,15 @@
 import {
-  address,
-  integer,
-  text,
-  url,
-} from '@wisterialadder/runtime/settings/setting_kinds.js';
+  OPS_SECTION,
+  VM_SECTION,
+} from '@wisterialadder/runtime/settings/common_sections.js';
+import {integer, url} from '@wisterialadder/runtime/settings/setting_kinds.js';
 
 const MAX_MS = 3_600_000;
 
 /** Settings of `wl-placer`. */
 export const PLACER_SETTINGS = {
-  vm: {
-    failure_domain: text({help: 'Failure domain that the VM is in.'}),
-  },
-  ops: {
-    listen: address({help: 'Address for metrics and probes.'}),
-  },
+  vm: VM_SECTION,
+  ops: OPS_SECTION,
   platform: {
     url: url({help: 'Address of the platform: log and weight store.'}),
   },
--- a/packages/router/src/caller/caller_routes.ts
+++ b/packages/router/src/caller/caller_routes.ts
@@ -6,8 +6,9 @@
 import {readBody} from '@wisterialadder/runtime/http/read_body.js';
 import {sendJson} from '@wisterialadder/runtime/http/send_json.js';
 import {prefixHashes} from '@wisterialadder/runtime/prompt/prefix_hashes.js';
+import {promptText} from '@wisterialadder/runtime/prompt/prompt_text.js';
 import {promptTokens} from '@wisterialadder/runtime/prompt/prompt_tokens.js';
-import {CHAT_BODY, promptText} from './chat_body.js';
+import {CHAT_BODY} from './chat_body.js';
 import {bearerKeyHash} from '@wisterialadder/runtime/http/bearer_key_hash.js';
 import type {CallerReply} from './caller_reply.js';
 import {JsonReply} from './json_reply.js';
@@ -39,7 +40,7 @@
       const where = parsed.error.issues[0]?.path.join('.') ?? '';
       return refuse(res, 400, 'bad_request', `Malformed body at "${where}".`);
     }
-    const prompt = promptText(parsed.data);
+    const prompt = promptText(parsed.data.messages);
     const reqId = randomUUID();
     const reply = parsed.data.stream
       ? new StreamReply(reqId, res)
--- a/packages/router/src/caller/chat_body.ts
+++ b/packages/router/src/caller/chat_body.ts
@@ -1,11 +1,9 @@
 import {z} from 'zod';
+import {CHAT_MESSAGE} from '@wisterialadder/runtime/prompt/chat_message.js';
 
 const DEFAULT_MAX_OUTPUT_TOKENS = 256;
-
-const CONTENT = z.union([
-  z.string(),
-  z.array(z.object({type: z.literal('text'), text: z.string()})),
-]);
+const MAX_OUTPUT_TOKENS = 1_000_000;
+const MAX_MESSAGES = 10_000;
 
 /** The parts of a chat-completion request that are read. */
 export const CHAT_BODY = z.object({
@@ -15,24 +13,7 @@
     .number()
     .int()
     .min(1)
-    .max(1_000_000)
+    .max(MAX_OUTPUT_TOKENS)
     .default(DEFAULT_MAX_OUTPUT_TOKENS),
-  messages: z
-    .array(z.object({role: z.string(), content: CONTENT}))
-    .min(1)
-    .max(10_000),
+  messages: z.array(CHAT_MESSAGE).min(1).max(MAX_MESSAGES),
 });
-
-/** A checked chat-completion request. */
-export type ChatBody = z.infer<typeof CHAT_BODY>;
-
-/** The prompt as one text, in the order of the messages. */
-export function promptText(body: ChatBody): string {
-  return body.messages
-    .map(({content}) =>
-      typeof content === 'string'
-        ? content
-        : content.map(part => part.text).join(''),
-    )
-    .join('\n');
-}
--- a/packages/router/src/settings.ts
+++ b/packages/router/src/settings.ts
@@ -1,3 +1,7 @@
+import {
+  OPS_SECTION,
+  VM_SECTION,
+} from '@wisterialadder/runtime/settings/common_sections.js';
 import {
   address,
   choice,
@@ -9,9 +13,7 @@
 
 /** Settings of `wl-router`. */
 export const ROUTER_SETTINGS = {
-  vm: {
-    failure_domain: text({help: 'Failure domain that the VM is in.'}),
-  },
+  vm: VM_SECTION,
   caller: {
     listen: address({help: 'Address for callers.'}),
     max_body_mb: integer(1, 256, {
@@ -20,9 +22,7 @@
       fallback: '16',
     }),
   },
-  ops: {
-    listen: address({help: 'Address for metrics and probes.'}),
-  },
+  ops: OPS_SECTION,
   peers: {
     listen: address({help: 'Address for other routers.'}),
     secret: text({help: 'Shared secret of all routers.'}),
--- a/packages/runtime/src/prompt/prompt_text.ts
+++ b/packages/runtime/src/prompt/prompt_text.ts
@@ -5,5 +5,10 @@
  * build it alike, otherwise their prefix hashes differ.
  */
 export function promptText(messages: ChatMessage[]): string {
-  return messages.map(message => message.content).join('\n');
+  return messages.map(textOf).join('\n');
+}
+
+function textOf({content}: ChatMessage): string {
+  if (typeof content === 'string') return content;
+  return content.map(part => part.text).join('');
 }
--- a/packages/standins/src/engine/engine_node.ts
+++ b/packages/standins/src/engine/engine_node.ts
@@ -13,7 +13,7 @@
 import {createKvMemory} from './memory/kv_memory.js';
 import {createModelSet} from './orders/model_set.js';
 import {createHeldSessions} from './sessions/held_sessions.js';
-import {createStreamTable} from './sessions/stream_table.js';
+import {createStreamTable} from './sessions/create_stream_table.js';
 
 /** A simulated model engine. */
 export interface EngineNode extends DecisionNode<EngineEvent, EngineAction> {
--- a/packages/standins/src/engine/engine_reservations.test.ts
+++ b/packages/standins/src/engine/engine_reservations.test.ts
@@ -67,3 +67,16 @@
   engine.run(300);
   assert.equal(heldTokens(engine), 0);
 });
+
+test('a prompt with reserved memory does not wait behind one without', () => {
+  const engine = createEngineHarness();
+  engine.step({...ASKED, ttlMs: 600_000});
+  engine.step(chatArrived('large', 90_000));
+  const [reservation] = RESERVATIONS;
+  const reservations = [{...reservation!, tokens: 60_000}];
+  engine.step(chatArrived('reserved', 59_000, {reservations}));
+  engine.step({kind: 'remote_settled', callId: 'reserved', ok: true});
+  engine.run(10_000);
+  assert.ok(engine.ended('reserved'));
+  assert.ok(!engine.ended('large'));
+});
