Refuse a key age that outlives the log's retention

Cause: a key that is accepted longer than its claim stays on the log could run twice after a recorder restarts; readers refuse such keys, but the operator learned of the wrong setting only then.

--- a/packages/router/src/router_program.ts
+++ b/packages/router/src/router_program.ts
@@ -26,6 +26,7 @@
 import {createAttemptRunner} from './endpoint/attempt_runner.js';
 import {createSessionClient} from './endpoint/session_client.js';
 import {startVmListReader} from './platform/vm_list_reader.js';
+import {routerContradictions} from './router_contradictions.js';
 import {ROUTER_SETTINGS} from './settings.js';
 
 const BYTES_PER_MB = 1_048_576;
@@ -39,6 +40,7 @@
   name: 'wl-router',
   help: 'Routes requests of callers to model engines and plain services.',
   settings: ROUTER_SETTINGS,
+  contradictions: routerContradictions,
   start: startRouter,
 };
 
--- a/packages/runtime/src/program/program.ts
+++ b/packages/runtime/src/program/program.ts
@@ -1,5 +1,6 @@
 import type {Logger} from '../logging/logger.js';
 import type {DisposableStore} from '../lifecycle/disposable_store.js';
+import type {SettingsFault} from '../settings/settings_fault.js';
 import type {
   SettingsDefinition,
   SettingsOf,
@@ -10,6 +11,8 @@
   name: string;
   help: string;
   settings: D;
+  /** Faults of settings that are each allowed but contradict each other. */
+  contradictions?(cfg: SettingsOf<D>): SettingsFault[];
   /**
    * Starts the program; answers the addresses it listens on, by name, or
    * nothing if it has already run to its end.
--- a/packages/runtime/src/program/run_program.ts
+++ b/packages/runtime/src/program/run_program.ts
@@ -37,11 +37,10 @@
     process.exit(EXIT_USAGE);
   }
   const settings = readSettings(program.settings, file);
-  if (!settings.ok) {
-    for (const err of settings.val) {
-      process.stderr.write(`${formatSettingsError(err)}\n`);
-    }
-    process.exit(EXIT_USAGE);
+  if (!settings.ok) return refuseSettings(settings.val);
+  const faults = program.contradictions?.(settings.val) ?? [];
+  if (faults.length > 0) {
+    return refuseSettings(faults.map(fault => ({file, ...fault})));
   }
   if (options['check']) {
     process.stdout.write(`${file}: ok\n`);
@@ -50,6 +49,13 @@
   await start(program, settings.val);
 }
 
+function refuseSettings(errs: SettingsError[]): never {
+  for (const err of errs) {
+    process.stderr.write(`${formatSettingsError(err)}\n`);
+  }
+  process.exit(EXIT_USAGE);
+}
+
 /** Reads and checks a settings file. */
 export function readSettings<D extends SettingsDefinition>(
   definition: D,
--- a/packages/runtime/src/settings/settings_error.ts
+++ b/packages/runtime/src/settings/settings_error.ts
@@ -1,10 +1,8 @@
+import type {SettingsFault} from './settings_fault.js';
+
 /** One fault of a settings file. */
-export interface SettingsError {
+export interface SettingsError extends SettingsFault {
   file: string;
-  section: string;
-  key: string;
-  problem: string;
-  allowed: string;
 }
 
 /** Formats a fault for the person who edits the file. */
