Reject early by the best prefill rate of prompts of the same length

The rate came from short prompts, whose time is mostly overhead, and took no account of prefill on several engines. Ruled out: the wait in the queue, which was empty. Change: best observed rate by service and decade of length; no rejection before one was observed.

--- a/packages/core/src/queue/early_rejection.ts
+++ b/packages/core/src/queue/early_rejection.ts
@@ -16,11 +16,14 @@
 export interface EarlyRejection {
   /** Retry-After of a new request that would wait too long. */
   onArrival(ctx: RouterContext, entry: QueueEntry): number | undefined;
-  /** Retry-After of a request whose start would come too late. */
+  /**
+   * Retry-After of a request whose start would come too late; `waitMs` is the
+   * expected time before its own prefill.
+   */
   onStart(
     ctx: RouterContext,
     entry: QueueEntry,
-    costMs: number,
+    waitMs: number,
   ): number | undefined;
   /** Rejects waiting requests that have become hopeless. */
   sweep(ctx: RouterContext): void;
@@ -72,10 +75,11 @@
   function onStart(
     ctx: RouterContext,
     entry: QueueEntry,
-    costMs: number,
+    waitMs: number,
   ): number | undefined {
     // Without a learned rate the cost is a guess that must reject nobody.
-    return bestCaseMs(entry) > 0 ? judge(ctx, entry, costMs) : undefined;
+    const ownMs = bestCaseMs(entry);
+    return ownMs > 0 ? judge(ctx, entry, waitMs + ownMs) : undefined;
   }
 
   function sweep(ctx: RouterContext): void {
--- a/packages/core/src/router/dispatcher.ts
+++ b/packages/core/src/router/dispatcher.ts
@@ -48,7 +48,8 @@
     if (!choice) return false;
     const {reqId} = entry;
     const {earlyRejection} = parts;
-    const retryMs = earlyRejection.onStart(ctx, entry, choice.costMs);
+    const waitMs = choice.costMs - (choice.costs?.prefillMs ?? 0);
+    const retryMs = earlyRejection.onStart(ctx, entry, waitMs);
     if (retryMs !== undefined) {
       tracker.abort(ctx, reqId, 'refused', 'overloaded', retryMs);
     } else if (kvFit(state, endpoints) === 'one_engine') {
--- a/packages/core/src/routing/expected_cost.ts
+++ b/packages/core/src/routing/expected_cost.ts
@@ -1,6 +1,7 @@
 import type {EndpointView} from '../endpoints/endpoint_view.js';
 import {queuedPrefillTokens} from '../endpoints/queued_prefill_tokens.js';
 import type {RandomSource} from '../types/random_source.js';
+import {createBestRates} from './best_rates.js';
 import type {CachedPrefix} from './cached_prefix.js';
 import {createLongShare} from './long_share.js';
 import {createLongSubset} from './long_subset.js';
@@ -38,6 +39,7 @@
 /** The endpoint with the lowest expected time to first token. */
 export class ExpectedCost extends RoutingStrategy {
   private readonly rates = createPrefillRates();
+  private readonly bestRates = createBestRates();
   private readonly share = createLongShare();
   private readonly subset = createLongSubset();
 
@@ -74,10 +76,13 @@
     const ms = elapsedMs - costs.decodeMs - costs.domainMs;
     const expectedMs = costs.queueMs + costs.prefillMs;
     this.rates.observe(endpoint, costs.work, ms, expectedMs);
+    const {service} = endpoint.row;
+    const rate = costs.work / Math.max(1, ms);
+    this.bestRates.observe(service, costs.promptTokens, rate);
   }
 
   override bestCaseMs(service: string, promptTokens: number): number {
-    const rate = this.rates.serviceRate(service);
+    const rate = this.bestRates.rate(service, promptTokens);
     return rate === undefined ? 0 : prefillWork(promptTokens) / rate;
   }
 
@@ -133,6 +138,7 @@
       domainMs: local ? 0 : OTHER_DOMAIN_MS,
       cachedTokens,
       work: queued + own,
+      promptTokens: req.promptTokens,
     };
   }
 }
--- a/packages/core/src/routing/route_costs.ts
+++ b/packages/core/src/routing/route_costs.ts
@@ -8,4 +8,6 @@
   cachedTokens: number;
   /** Queued plus own prefill in linear token equivalents. */
   work: number;
+  /** Length of the request's prompt. */
+  promptTokens: number;
 }
--- a/scripts/fleet/bench.mjs
+++ b/scripts/fleet/bench.mjs
@@ -22,6 +22,7 @@
     seed: {type: 'string', default: '1'},
     seconds: {type: 'string'},
     'max-timeout-ms': {type: 'string'},
+    plan: {type: 'string'},
   },
 });
 
@@ -138,7 +139,7 @@
   );
   console.log('times in ms as p50/p95/p99');
   console.log(tableOf(results, bench.shortCustomer, bench.longClasses));
-  if (results.length < QUICK_PLAN.length) return;
+  if (args.plan || results.length < QUICK_PLAN.length) return;
   for (const {what, limit, value, reached} of targetsOf(results, bench)) {
     const verdict = reached ? 'reached' : 'NOT reached';
     console.log(`${verdict}: ${what}: ${value.toFixed(2)} (limit ${limit})`);
@@ -153,7 +154,9 @@
   });
 }
 
-for (const step of args.quick ? QUICK_PLAN : FULL_PLAN) {
+const standardPlan = args.quick ? QUICK_PLAN : FULL_PLAN;
+const plan = args.plan?.split(',') ?? standardPlan;
+for (const step of plan) {
   const [variant, load] = step.split(' ');
   const result = await run(variant, Number(load));
   results.push(result);
