Contact the member that was contacted least recently

Cause: a router looks for living members among those it holds for dead by contacting one of them each 5 s. Change: the least recently contacted address is taken.

--- a/packages/core/src/membership/contacts.ts
+++ b/packages/core/src/membership/contacts.ts
@@ -7,7 +7,11 @@
 export interface Contacts {
   /** Replaces the hint of the VM list. */
   vmListRead(vms: VmEntry[]): void;
-  /** A random address worth contacting; undefined if there is none. */
+  /**
+   * The address that was contacted least recently, a random one among equals;
+   * undefined if there is none. A random choice alone can pass over a living
+   * member for longer than the bound on false deaths.
+   */
   next(ctx: RouterContext): string | undefined;
 }
 
@@ -17,12 +21,25 @@
  */
 export function createContacts(table: MemberTable, seeds: string[]): Contacts {
   let listed: string[] = [];
+  let contactedMs = new Map<string, number>();
 
   function next(ctx: RouterContext): string | undefined {
     const known = table.others().map(member => member.update.address);
     const candidates = new Set([...seeds, ...listed, ...known]);
     for (const address of table.alive()) candidates.delete(address);
-    return pick([...candidates], ctx.random);
+    contactedMs = new Map(
+      [...candidates].map(address => [
+        address,
+        contactedMs.get(address) ?? Number.NEGATIVE_INFINITY,
+      ]),
+    );
+    const oldestMs = Math.min(...contactedMs.values());
+    const oldest = [...candidates].filter(
+      address => contactedMs.get(address) === oldestMs,
+    );
+    const chosen = pick(oldest, ctx.random);
+    if (chosen !== undefined) contactedMs.set(chosen, ctx.nowMs);
+    return chosen;
   }
 
   return {
