--- a/packages/core/src/routing/prefill_rates.ts
+++ b/packages/core/src/routing/prefill_rates.ts
@@ -23,11 +23,6 @@
   ): void;
   /** Work per millisecond of one endpoint. */
   rate(view: EndpointView): number;
-  /**
-   * Work per millisecond of the typical endpoint of a service; undefined
-   * before the first observation.
-   */
-  serviceRate(service: string): number | undefined;
 }
 
 /** Creates rates without observations. */
@@ -64,7 +59,7 @@
     return (prefillSeen.work + SERVICE_WORK) / ms;
   }
 
-  return {observe, rate, serviceRate};
+  return {observe, rate};
 }
 
 function add(seen: PrefillSeen, work: number, ms: number): void {
