Share features, drain and peer transport between programs

Cause: a second program, the gateway of the users' platform, needs the same composition of features, the same graceful shutdown and the same transport. Change: features are generic over events and actions; the drain takes a limit after which it cuts; the peer transport is generic over its messages.

--- a/packages/core/src/drain/drain.ts
+++ b/packages/core/src/drain/drain.ts
@@ -1,51 +1,66 @@
-import type {RouterContext} from '../router/router_context.js';
+import type {Exit} from '../router/actions/exit.js';
+import type {WriteLog} from '../router/actions/write_log.js';
+import type {StepContext} from '../types/step_context.js';
 
-/** Stage of a router's life. */
+type DrainContext = StepContext<Exit | WriteLog>;
+
+/** Stage of a process's life. */
 export type DrainStage = 'running' | 'notice' | 'draining' | 'stopped';
 
 /** Graceful shutdown: not ready first, then drain, then exit. */
-export interface Drain {
+export interface Drain<C extends DrainContext> {
   stage(): DrainStage;
   /** The first call starts the drain; the second cuts it short. */
-  stopRequested(ctx: RouterContext, inFlight: number): void;
+  stopRequested(ctx: C, inFlight: number): void;
   /** Moves on when the notice has passed and nothing is in flight. */
-  advance(ctx: RouterContext, inFlight: number): void;
+  advance(ctx: C, inFlight: number): void;
 }
 
-/** What the drain needs of the router. */
-export interface DrainParts {
+/** What the drain needs of its process. */
+export interface DrainParts<C extends DrainContext> {
   /** Time between "not ready" and refusing requests, in milliseconds. */
   noticeMs: number;
+  /** Time after which everything in flight is cut; undefined for never. */
+  limitMs: number | undefined;
   /** Ends every request that is still in flight. */
-  cutAll(ctx: RouterContext): void;
+  cutAll(ctx: C): void;
 }
 
-/** Creates the drain of a running router. */
-export function createDrain(parts: DrainParts): Drain {
+/** Creates the drain of a running process. */
+export function createDrain<C extends DrainContext>(
+  parts: DrainParts<C>,
+): Drain<C> {
   let stage: DrainStage = 'running';
-  let noticeEndsMs = 0;
+  let requestedMs = 0;
 
-  function stopRequested(ctx: RouterContext, inFlight: number): void {
+  function stopRequested(ctx: C, inFlight: number): void {
     if (stage === 'running') {
       stage = 'notice';
-      noticeEndsMs = ctx.nowMs + parts.noticeMs;
+      requestedMs = ctx.nowMs;
       ctx.emit({kind: 'write_log', event: 'WL9002', fields: {inFlight}});
       return;
     }
-    if (stage === 'stopped') return;
-    parts.cutAll(ctx);
-    stop(ctx, inFlight);
+    if (stage !== 'stopped') cut(ctx, inFlight);
   }
 
-  function advance(ctx: RouterContext, inFlight: number): void {
-    if (stage === 'notice' && ctx.nowMs >= noticeEndsMs) stage = 'draining';
-    if (stage === 'draining' && inFlight === 0) stop(ctx, 0);
+  function advance(ctx: C, inFlight: number): void {
+    const elapsedMs = ctx.nowMs - requestedMs;
+    if (stage === 'notice' && elapsedMs >= parts.noticeMs) stage = 'draining';
+    if (stage !== 'draining') return;
+    if (inFlight === 0) stop(ctx, 0);
+    else if (elapsedMs >= (parts.limitMs ?? Infinity)) cut(ctx, inFlight);
+  }
+
+  function cut(ctx: C, inFlight: number): void {
+    parts.cutAll(ctx);
+    stop(ctx, inFlight);
   }
 
-  function stop(ctx: RouterContext, cut: number): void {
+  function stop(ctx: C, cutRequests: number): void {
     stage = 'stopped';
-    ctx.emit({kind: 'write_log', event: 'WL9003', fields: {cut}});
-    ctx.emit({kind: 'exit', code: cut > 0 ? 1 : 0});
+    const fields = {cut: cutRequests};
+    ctx.emit({kind: 'write_log', event: 'WL9003', fields});
+    ctx.emit({kind: 'exit', code: cutRequests > 0 ? 1 : 0});
   }
 
   return {stage: () => stage, stopRequested, advance};
--- a/packages/core/src/mocks/virtual_limit_node.ts
+++ b/packages/core/src/mocks/virtual_limit_node.ts
@@ -5,7 +5,7 @@
 import type {RouterAction} from '../router/actions/router_action.js';
 import type {RouterContext} from '../router/router_context.js';
 import type {RouterEvent} from '../router/events/router_event.js';
-import {runFeatures} from '../router/run_features.js';
+import {runFeatures} from '../shared/run_features.js';
 import type {CustomerRow} from '../types/customer_row.js';
 import type {RandomSource} from '../types/random_source.js';
 
--- a/packages/core/src/mocks/virtual_table_node.ts
+++ b/packages/core/src/mocks/virtual_table_node.ts
@@ -1,7 +1,7 @@
 import type {AliveMembers} from '../membership/alive_members.js';
 import type {RouterAction} from '../router/actions/router_action.js';
 import type {RouterEvent} from '../router/events/router_event.js';
-import {runFeatures} from '../router/run_features.js';
+import {runFeatures} from '../shared/run_features.js';
 import {createTableFeature, type TableFeature} from '../table/table_feature.js';
 import type {RandomSource} from '../types/random_source.js';
 
--- a/packages/core/src/requests/attempt_history.ts
+++ b/packages/core/src/requests/attempt_history.ts
@@ -6,6 +6,8 @@
   started(): void;
   /** The current attempt ended without a whole answer. */
   failed(failure: AttemptFailure): void;
+  /** Attempts of which it is not certain that they did not run. */
+  runs(): number;
   /** Proof that no endpoint acted on the request, if there is one. */
   notRunProof(): NotRunProof | undefined;
 }
@@ -16,9 +18,13 @@
   let connectFailures = 0;
   let notRunAnswers = 0;
 
+  function runs(): number {
+    return starts - connectFailures - notRunAnswers;
+  }
+
   function notRunProof(): NotRunProof | undefined {
     if (starts === 0) return issueNotRunProof('never_dispatched');
-    if (starts > connectFailures + notRunAnswers) return undefined;
+    if (runs() > 0) return undefined;
     return issueNotRunProof(
       notRunAnswers > 0 ? 'endpoint_said_not_run' : 'connect_failed',
     );
@@ -30,8 +36,11 @@
     },
     failed: failure => {
       if (failure === 'connect_failed') connectFailures += 1;
-      if (failure === 'said_not_run') notRunAnswers += 1;
+      if (failure === 'said_not_run' || failure === 'wrong_instance') {
+        notRunAnswers += 1;
+      }
     },
+    runs,
     notRunProof,
   };
 }
--- a/packages/core/src/router/admission.ts
+++ b/packages/core/src/router/admission.ts
@@ -26,7 +26,7 @@
   claims: Claims;
   queue: RequestQueue;
   tracker: RequestTracker;
-  drain: Drain;
+  drain: Drain<RouterContext>;
   earlyRejection: EarlyRejection;
 }
 
--- a/packages/core/src/router/readiness_feature.ts
+++ b/packages/core/src/router/readiness_feature.ts
@@ -6,7 +6,7 @@
 /** Tells the readiness probe whenever its answer changes. */
 export function createReadinessFeature(
   table: TableFeature,
-  drain: Drain,
+  drain: Drain<RouterContext>,
 ): RouterFeature {
   let announced: string | undefined;
 
--- a/packages/core/src/router/router_feature.ts
+++ b/packages/core/src/router/router_feature.ts
@@ -1,13 +1,6 @@
-import type {RouterContext} from './router_context.js';
-import type {RouterHandlers} from './router_handlers.js';
+import type {Feature} from '../types/feature.js';
+import type {RouterAction} from './actions/router_action.js';
+import type {RouterEvent} from './events/router_event.js';
 
 /** A part of the router that takes part in each step. */
-export interface RouterFeature {
-  handlers: RouterHandlers;
-  /** Called once, before the first event. */
-  start?(ctx: RouterContext): void;
-  /** Judges what is due by `ctx.nowMs`; called before each event. */
-  expire?(ctx: RouterContext): void;
-  /** Called after the handlers of each event. */
-  settle?(ctx: RouterContext): void;
-}
+export type RouterFeature = Feature<RouterEvent, RouterAction>;
--- a/packages/core/src/router/router_node.ts
+++ b/packages/core/src/router/router_node.ts
@@ -26,7 +26,7 @@
 import type {RouterContext} from './router_context.js';
 import type {RouterFeature} from './router_feature.js';
 import {createReadinessFeature} from './readiness_feature.js';
-import {runFeatures} from './run_features.js';
+import {runFeatures} from '../shared/run_features.js';
 
 /**
  * A router's decisions: requests, table, endpoints and peers. `otherMembers`
@@ -99,7 +99,11 @@
     },
   };
   const claims = createClaimsFeature(cfg, members, claimListener);
-  const drain = createDrain({noticeMs: cfg.drainNoticeMs, cutAll});
+  const drain = createDrain<RouterContext>({
+    noticeMs: cfg.drainNoticeMs,
+    limitMs: undefined,
+    cutAll,
+  });
   const admit = createAdmission({
     cfg,
     table,
--- a/packages/core/src/shared/log_events.ts
+++ b/packages/core/src/shared/log_events.ts
@@ -2,7 +2,7 @@
  * Catalogue of log events. `docs/LOG_EVENTS.md` is generated from it. WL1xxx:
  * requests and routing, WL2xxx: table and log streams, WL3xxx: claims, WL4xxx:
  * membership, WL5xxx: endpoints and engine memory, WL6xxx: placement and
- * lease, WL7xxx: administration, WL9xxx: process.
+ * lease, WL7xxx: administration, WL8xxx: gateway, WL9xxx: process.
  */
 export const LOG_EVENTS = {
   WL1001: {
@@ -150,6 +150,52 @@
     text: 'administration request refused',
     action: 'If it repeats, find out who uses a wrong key or role.',
   },
+  WL8001: {
+    level: 'info',
+    text: 'configuration in force',
+    action: 'None; shows the version, the one before and where it came from.',
+  },
+  WL8002: {
+    level: 'warn',
+    text: 'store reachability changed',
+    action: 'If it stays out of reach, check the store and the network.',
+  },
+  WL8003: {
+    level: 'info',
+    text: 'endpoint registration changed',
+    action: 'None; shows the state that the endpoint registered.',
+  },
+  WL8101: {
+    level: 'info',
+    text: 'gateway heard',
+    action: 'None; shows its address and the start it belongs to.',
+  },
+  WL8201: {
+    level: 'warn',
+    text: 'endpoint put aside',
+    action:
+      'Check the endpoint if it repeats; it is tried again after pauseMs.',
+  },
+  WL8301: {
+    level: 'info',
+    text: 'request routed',
+    action: 'None; shows the endpoint, the time expected and the reason.',
+  },
+  WL8302: {
+    level: 'info',
+    text: 'request ended',
+    action: 'Look at the outcome and the detail.',
+  },
+  WL8303: {
+    level: 'warn',
+    text: 'attempt of a request failed',
+    action: 'Check the endpoint if it repeats.',
+  },
+  WL8304: {
+    level: 'info',
+    text: 'request not sent again',
+    action: 'None; the denial says why.',
+  },
   WL9001: {
     level: 'info',
     text: 'process started',
--- a/packages/core/src/shared/metrics.ts
+++ b/packages/core/src/shared/metrics.ts
@@ -95,4 +95,14 @@
     help: 'Orders ended, by kind and result.',
     labels: ['kind', 'result'],
   },
+  forwarded_total: {
+    type: 'counter',
+    help: 'Requests forwarded by a gateway, by service and outcome.',
+    labels: ['service', 'outcome'],
+  },
+  first_piece_ms: {
+    type: 'histogram',
+    help: 'Milliseconds from arrival to the first piece, by service.',
+    labels: ['service'],
+  },
 } as const;
--- a/packages/core/src/router/run_features.ts
+++ b/packages/core/src/shared/run_features.ts
@@ -1,24 +1,21 @@
 import type {DecisionNode} from '../types/decision_node.js';
+import type {Feature} from '../types/feature.js';
+import type {StepContext} from '../types/step_context.js';
 import type {StepInput} from '../types/step_input.js';
-import type {RouterAction} from './actions/router_action.js';
-import type {RouterEvent} from './events/router_event.js';
-import type {RouterContext} from './router_context.js';
-import type {RouterFeature} from './router_feature.js';
-
-type AnyHandler = (ctx: RouterContext, event: RouterEvent) => void;
 
 /**
  * Joins features into one node. What is due is judged before the event, so
  * that a process woken after a pause does not act on overdue work.
  */
-export function runFeatures(
-  features: RouterFeature[],
-): DecisionNode<RouterEvent, RouterAction> {
+export function runFeatures<E extends {kind: string}, A>(
+  features: Feature<E, A>[],
+): DecisionNode<E, A> {
+  type AnyHandler = (ctx: StepContext<A>, event: E) => void;
   let started = false;
 
-  function step(input: StepInput<RouterEvent>): RouterAction[] {
-    const actions: RouterAction[] = [];
-    const ctx: RouterContext = {
+  function step(input: StepInput<E>): A[] {
+    const actions: A[] = [];
+    const ctx: StepContext<A> = {
       nowMs: input.nowMs,
       wallMs: input.wallMs,
       random: input.random,
@@ -30,7 +27,7 @@
     }
     for (const feature of features) feature.expire?.(ctx);
     for (const feature of features) {
-      const handler = feature.handlers[input.event.kind];
+      const handler: unknown = feature.handlers[input.event.kind as E['kind']];
       (handler as AnyHandler | undefined)?.(ctx, input.event);
     }
     for (const feature of features) feature.settle?.(ctx);
--- a/packages/runtime/src/peers/peer_transport.test.ts
+++ b/packages/runtime/src/peers/peer_transport.test.ts
@@ -7,7 +7,7 @@
 const MESSAGE: PeerMessage = {kind: 'table_pull', next: 7};
 
 interface Receiver {
-  transport: PeerTransport;
+  transport: PeerTransport<PeerMessage>;
   received: PeerMessage[];
   heard: EventEmitter;
 }
@@ -15,7 +15,7 @@
 async function receiver(secret: string): Promise<Receiver> {
   const received: PeerMessage[] = [];
   const heard = new EventEmitter();
-  const transport = await startPeerTransport({
+  const transport = await startPeerTransport<PeerMessage>({
     address: '127.0.0.1:0',
     secret,
     incarnation: 1,
--- a/packages/runtime/src/peers/peer_transport.ts
+++ b/packages/runtime/src/peers/peer_transport.ts
@@ -13,7 +13,6 @@
   connectNodeAdapter,
   createConnectTransport,
 } from '@connectrpc/connect-node';
-import type {PeerMessage} from '@wisterialadder/core/router/messages/peer_message.js';
 import {PeerService, type ExchangeRequest} from '../gen/peer_pb.js';
 import {splitAddress} from '../http/http_server.js';
 import type {Disposable} from '../lifecycle/disposable.js';
@@ -22,28 +21,33 @@
 const SEND_TIMEOUT_MS = 1_000;
 const SECRET_HEADER = 'wl-peer-secret';
 
-/** Messages between routers. */
-export interface PeerTransport extends Disposable {
+/** A message is known by its kind. */
+interface Message {
+  kind: string;
+}
+
+/** Messages between the processes of a fleet. */
+export interface PeerTransport<M extends Message> extends Disposable {
   /** Address it listens on, `IP:PORT`. */
   readonly address: string;
   /** Sends without waiting; a message may be lost. */
-  send(to: string, message: PeerMessage): void;
+  send(to: string, message: M): void;
   /** Bytes of message bodies sent so far. */
   bytesSent(): number;
 }
 
 /** What the transport needs of its process. */
-export interface PeerTransportParts {
+export interface PeerTransportParts<M extends Message> {
   address: string;
   secret: string;
   incarnation: number;
-  onMessage(from: string, incarnation: number, message: PeerMessage): void;
+  onMessage(from: string, incarnation: number, message: M): void;
 }
 
 /** Starts the server side and prepares clients; rejects if it cannot bind. */
-export async function startPeerTransport(
-  parts: PeerTransportParts,
-): Promise<PeerTransport> {
+export async function startPeerTransport<M extends Message>(
+  parts: PeerTransportParts<M>,
+): Promise<PeerTransport<M>> {
   const clients = new Map<string, Client<typeof PeerService>>();
   const sessions = new Set<{destroy(): void}>();
   let bytesSent = 0;
@@ -69,7 +73,7 @@
     return created;
   }
 
-  function send(to: string, message: PeerMessage): void {
+  function send(to: string, message: M): void {
     const {kind, ...fields} = message;
     const body = Buffer.from(JSON.stringify(fields));
     bytesSent += body.length;
@@ -96,7 +100,10 @@
   };
 }
 
-function routes(router: ConnectRouter, parts: PeerTransportParts): void {
+function routes<M extends Message>(
+  router: ConnectRouter,
+  parts: PeerTransportParts<M>,
+): void {
   router.service(PeerService, {
     exchange: (req: ExchangeRequest, ctx: HandlerContext) => {
       const secret = ctx.requestHeader.get(SECRET_HEADER) ?? '';
@@ -105,7 +112,7 @@
       }
       for (const {kind, body} of req.messages) {
         const fields = parseBody(body);
-        const message = {kind, ...fields} as PeerMessage;
+        const message = {kind, ...fields} as unknown as M;
         parts.onMessage(req.from, Number(req.incarnation), message);
       }
       return {};
--- a/packages/runtime/src/program/run_program.ts
+++ b/packages/runtime/src/program/run_program.ts
@@ -19,9 +19,13 @@
 const EXIT_FAILURE = 1;
 const EXIT_USAGE = 2;
 
-/** Reads the command line and settings, then starts the program. */
+/**
+ * Reads the command line and settings, then starts the program.
+ * @param defaultFile settings file where the command line names none
+ */
 export async function runProgram<D extends SettingsDefinition>(
   program: Program<D>,
+  defaultFile?: string,
 ): Promise<void> {
   const cli = cac(program.name);
   cli.option('--config <file>', 'Settings file (INI)');
@@ -31,7 +35,7 @@
   cli.version(VERSION);
   const {options} = cli.parse();
   if (options['help'] || options['version']) return;
-  const file = options['config'] as string | undefined;
+  const file = (options['config'] as string | undefined) ?? defaultFile;
   if (!file) {
     process.stderr.write(`${program.name}: --config FILE is required\n`);
     process.exit(EXIT_USAGE);
