--- a/eslint.config.js
+++ b/eslint.config.js
@@ -19,11 +19,20 @@
 );
 
 export default tseslint.config(
-  {ignores: ['**/dist/**', '**/gen/**', 'node_modules/**', 'run/**']},
+  {
+    ignores: [
+      '**/dist/**',
+      '**/gen/**',
+      'node_modules/**',
+      'run/**',
+      'target/**',
+      'journal/**',
+    ],
+  },
   js.configs.recommended,
   ...tseslint.configs.recommended,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: {
       parserOptions: {
         projectService: true,
--- /dev/null
+++ b/packages/core/src/configuration/published_configuration.ts
@@ -0,0 +1,42 @@
+import type {Configuration} from './configuration.js';
+import {createKeyRing, type KeyRing} from './key_ring.js';
+import {createRouteTable, type RouteTable} from './route_table.js';
+import type {ServiceSpec} from './service_spec.js';
+
+/** The newest configuration that this process knows, indexed for requests. */
+export interface PublishedConfiguration {
+  /** Takes a version over; false if it is not newer than the current one. */
+  adopt(next: Configuration): boolean;
+  /** Undefined until the first version is known. */
+  current(): Configuration | undefined;
+  version(): number;
+  routes(): RouteTable;
+  keys(): KeyRing;
+  service(name: string): ServiceSpec | undefined;
+}
+
+/** Creates a holder without a version. */
+export function createPublishedConfiguration(): PublishedConfiguration {
+  let current: Configuration | undefined;
+  let routes = createRouteTable([]);
+  let keys = createKeyRing([]);
+  let services = new Map<string, ServiceSpec>();
+
+  function adopt(next: Configuration): boolean {
+    if (current && next.version <= current.version) return false;
+    current = next;
+    routes = createRouteTable(next.routes);
+    keys = createKeyRing(next.customers ?? []);
+    services = new Map(next.services.map(spec => [spec.name, spec]));
+    return true;
+  }
+
+  return {
+    adopt,
+    current: () => current,
+    version: () => current?.version ?? 0,
+    routes: () => routes,
+    keys: () => keys,
+    service: name => services.get(name),
+  };
+}
--- /dev/null
+++ b/packages/core/src/configuration/route.ts
@@ -0,0 +1,27 @@
+import type {RequestKind} from './request_kind.js';
+import type {WeightedService} from './weighted_service.js';
+
+/** How the requests of one host and path prefix are served. */
+export interface Route {
+  name: string;
+  host: string;
+  /** Begins and ends with a slash; the longest match wins. */
+  pathPrefix: string;
+  kind: RequestKind;
+  /** One entry unless the route's requests are split. */
+  services: WeightedService[];
+  /** Time from arrival to the last byte, in milliseconds. */
+  timeoutMs: number;
+  /** Time to the whole answer, or to a stream's first piece. */
+  targetLatencyMs: number;
+  /** Longest pause between two pieces of a stream; 0 for other kinds. */
+  targetGapMs: number;
+  /** 0 is served first. */
+  priority: number;
+  /** Endpoints that may run one request. */
+  maxAttempts: number;
+  /** Whether requests need no key. */
+  public: boolean;
+  /** Whether a broken stream may be continued at another endpoint. */
+  resumable: boolean;
+}
--- /dev/null
+++ b/packages/core/src/endpoint_health/endpoint_health.ts
@@ -0,0 +1,87 @@
+import type {GatewayContext} from '../gateway/gateway_context.js';
+
+/** First time that a failing endpoint gets no work; doubles each time. */
+const FIRST_PAUSE_MS = 400;
+const LONGEST_PAUSE_MS = 6_000;
+/** Weight of the newest observation of an endpoint's pace. */
+const PACE_WEIGHT = 0.2;
+const FASTEST_PACE = 0.8;
+const SLOWEST_PACE = 8;
+
+/** How endpoints have answered lately. */
+export interface EndpointHealth {
+  /** An attempt failed in a way that a sound endpoint does not show. */
+  failed(ctx: GatewayContext, endpoint: string, reason: string): void;
+  succeeded(endpoint: string): void;
+  /** Whether the endpoint gets no work for now. */
+  aside(endpoint: string, nowMs: number): boolean;
+  /** Compares the time of a first piece with what the profile says. */
+  observed(endpoint: string, tookMs: number, expectedMs: number): void;
+  /** How many times slower than its profile the endpoint is. */
+  pace(endpoint: string): number;
+  /** Forgets endpoints that are not in the set. */
+  keep(endpoints: ReadonlySet<string>): void;
+}
+
+interface Standing {
+  failures: number;
+  asideUntilMs: number;
+  pace: number;
+}
+
+/** Creates the health of endpoints of which nothing is known. */
+export function createEndpointHealth(): EndpointHealth {
+  const standings = new Map<string, Standing>();
+
+  function of(endpoint: string): Standing {
+    let standing = standings.get(endpoint);
+    if (!standing) {
+      standing = {failures: 0, asideUntilMs: 0, pace: 1};
+      standings.set(endpoint, standing);
+    }
+    return standing;
+  }
+
+  function failed(ctx: GatewayContext, endpoint: string, reason: string): void {
+    const standing = of(endpoint);
+    standing.failures += 1;
+    const pauseMs = Math.min(
+      LONGEST_PAUSE_MS,
+      FIRST_PAUSE_MS * 2 ** (standing.failures - 1),
+    );
+    standing.asideUntilMs = ctx.nowMs + pauseMs;
+    const fields = {endpoint, reason, failures: standing.failures, pauseMs};
+    ctx.emit({kind: 'write_log', event: 'WL8201', fields});
+  }
+
+  function observed(
+    endpoint: string,
+    tookMs: number,
+    expectedMs: number,
+  ): void {
+    if (expectedMs <= 0) return;
+    const ratio = tookMs / expectedMs;
+    const bounded = Math.min(SLOWEST_PACE, Math.max(FASTEST_PACE, ratio));
+    const standing = of(endpoint);
+    standing.pace += (bounded - standing.pace) * PACE_WEIGHT;
+  }
+
+  return {
+    failed,
+    succeeded: endpoint => {
+      const standing = standings.get(endpoint);
+      if (!standing) return;
+      standing.failures = 0;
+      standing.asideUntilMs = 0;
+    },
+    aside: (endpoint, nowMs) =>
+      (standings.get(endpoint)?.asideUntilMs ?? 0) > nowMs,
+    observed,
+    pace: endpoint => standings.get(endpoint)?.pace ?? 1,
+    keep: endpoints => {
+      for (const endpoint of standings.keys()) {
+        if (!endpoints.has(endpoint)) standings.delete(endpoint);
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/fleet/fleet_gossip.ts
@@ -0,0 +1,215 @@
+import type {MembersRead} from '../gateway/events/members_read.js';
+import type {PeerReceived} from '../gateway/events/peer_received.js';
+import type {StoreFailed} from '../gateway/events/store_failed.js';
+import type {GatewayContext} from '../gateway/gateway_context.js';
+import type {GatewayFeature} from '../gateway/gateway_feature.js';
+import type {FleetMembers} from './fleet_members.js';
+import type {MemberRecord} from './member_record.js';
+import type {Beat} from './messages/beat.js';
+import type {WorkUpdate} from './messages/work_update.js';
+import type {Work} from './work.js';
+import type {WorkBoard} from './work_board.js';
+import {noticeOf, workOf} from './work_notices.js';
+
+/** Pause between two beats. */
+const BEAT_INTERVAL_MS = 1_000;
+/** Pause between two attempts to reach a member that is silent. */
+const CONTACT_INTERVAL_MS = 2_000;
+const ANNOUNCE_RETRY_MS = 1_000;
+
+/** Tells other gateways that this one lives and what it has in flight. */
+export interface FleetGossip extends GatewayFeature {
+  started(work: Work): void;
+  writing(work: number): void;
+  ended(work: number): void;
+}
+
+/** What the gossip works on. */
+export interface FleetGossipParts {
+  self: MemberRecord;
+  /** Peer addresses to contact first. */
+  seeds: string[];
+  members: FleetMembers;
+  board: WorkBoard;
+  storeReachable(): boolean;
+  draining(): boolean;
+}
+
+/** Creates the gossip of a gateway that has just started. */
+export function createFleetGossip(parts: FleetGossipParts): FleetGossip {
+  const {self, members, board} = parts;
+  let beatMs = Number.NEGATIVE_INFINITY;
+  let contactMs = Number.NEGATIVE_INFINITY;
+  let announceMs = Number.NEGATIVE_INFINITY;
+  let introduced: 'no' | 'announced' | 'yes' = 'no';
+  let pending = emptyUpdate();
+
+  function expire(ctx: GatewayContext): void {
+    const {nowMs} = ctx;
+    if (introduced !== 'yes' && nowMs - announceMs >= ANNOUNCE_RETRY_MS) {
+      introduce(ctx);
+    }
+    if (nowMs - beatMs >= BEAT_INTERVAL_MS) {
+      beatMs = nowMs;
+      forgetDead(nowMs);
+      sendBeat(ctx, addresses(members.alive(nowMs)), false);
+    }
+    if (nowMs - contactMs >= CONTACT_INTERVAL_MS) {
+      contactMs = nowMs;
+      const alive = new Set(addresses(members.alive(nowMs)));
+      const silent = addresses([...members.all()]).filter(a => !alive.has(a));
+      sendBeat(ctx, silent, true);
+    }
+  }
+
+  /** Announces this gateway, then asks who else has done so. */
+  function introduce(ctx: GatewayContext): void {
+    announceMs = ctx.nowMs;
+    if (introduced === 'no') ctx.emit({kind: 'announce_member', record: self});
+    else {
+      ctx.emit({kind: 'read_store', call: 'members', fromOffset: undefined});
+    }
+  }
+
+  function forgetDead(nowMs: number): void {
+    members.prune(nowMs);
+    const alive = new Set(addresses(members.alive(nowMs)));
+    for (const {address} of members.all()) {
+      if (!alive.has(address)) board.replace(address, []);
+    }
+  }
+
+  function membersRead(ctx: GatewayContext, event: MembersRead): void {
+    introduced = 'yes';
+    const known = new Set(addresses([...members.all()]));
+    for (const record of event.members) members.know(ctx.nowMs, record);
+    const added = addresses([...members.all()]).filter(a => !known.has(a));
+    sendBeat(ctx, added, true);
+  }
+
+  function received(ctx: GatewayContext, event: PeerReceived): void {
+    const {from, incarnation, message} = event;
+    if (from === self.address) return;
+    const before = members.get(from);
+    if (before && incarnation > before.incarnation) board.replace(from, []);
+    const firstSign = before?.heardMs === undefined;
+    if (!members.heard(ctx.nowMs, from, incarnation)) return;
+    if (firstSign) {
+      const fields = {member: from, incarnation};
+      ctx.emit({kind: 'write_log', event: 'WL8101', fields});
+    }
+    if (message.kind === 'beat') beatReceived(ctx, from, message);
+    if (message.kind === 'work_update') updateReceived(ctx, from, message);
+  }
+
+  function beatReceived(ctx: GatewayContext, from: string, beat: Beat): void {
+    members.beat(from, beat);
+    const {nowMs} = ctx;
+    board.replace(
+      from,
+      beat.work.map(notice => workOf(notice, from, nowMs)),
+    );
+    if (beat.wantsReply) sendBeat(ctx, [from], false);
+  }
+
+  function updateReceived(
+    ctx: GatewayContext,
+    from: string,
+    update: WorkUpdate,
+  ): void {
+    for (const notice of update.started) {
+      board.add(workOf(notice, from, ctx.nowMs));
+    }
+    for (const work of update.writing) board.writing(from, work);
+    for (const work of update.ended) board.remove(from, work);
+  }
+
+  function sendBeat(
+    ctx: GatewayContext,
+    to: string[],
+    wantsReply: boolean,
+  ): void {
+    if (to.length === 0) return;
+    const work = [...board.ofMember(self.address)];
+    ctx.emit({
+      kind: 'send_peers',
+      to,
+      message: {
+        kind: 'beat',
+        failureDomain: self.failureDomain,
+        storeReachable: parts.storeReachable(),
+        draining: parts.draining(),
+        wantsReply,
+        work: work.map(item => noticeOf(item, ctx.nowMs)),
+      },
+    });
+  }
+
+  function settle(ctx: GatewayContext): void {
+    const {started, writing, ended} = pending;
+    if (started.length + writing.length + ended.length === 0) return;
+    const to = addresses(members.alive(ctx.nowMs));
+    if (to.length > 0) {
+      const notices = started.map(work => noticeOf(work, ctx.nowMs));
+      const message: WorkUpdate = {
+        kind: 'work_update',
+        started: notices,
+        writing,
+        ended,
+      };
+      ctx.emit({kind: 'send_peers', to, message});
+    }
+    pending = emptyUpdate();
+  }
+
+  function failed(_ctx: GatewayContext, event: StoreFailed): void {
+    // A failed call of either kind is repeated by `expire`.
+    if (event.call === 'members') introduced = 'announced';
+  }
+
+  return {
+    handlers: {
+      member_announced: ctx => {
+        introduced = 'announced';
+        introduce(ctx);
+      },
+      members_read: membersRead,
+      peer_received: received,
+      store_failed: failed,
+    },
+    start: ctx => {
+      for (const address of parts.seeds) {
+        const record = {address, failureDomain: '', incarnation: 0};
+        members.know(ctx.nowMs, record);
+      }
+    },
+    expire,
+    settle,
+    started: work => {
+      board.add(work);
+      pending.started.push(work);
+    },
+    writing: work => {
+      board.writing(self.address, work);
+      pending.writing.push(work);
+    },
+    ended: work => {
+      board.remove(self.address, work);
+      pending.ended.push(work);
+    },
+  };
+}
+
+interface PendingUpdate {
+  started: Work[];
+  writing: number[];
+  ended: number[];
+}
+
+function emptyUpdate(): PendingUpdate {
+  return {started: [], writing: [], ended: []};
+}
+
+function addresses(members: {address: string}[]): string[] {
+  return members.map(({address}) => address);
+}
--- /dev/null
+++ b/packages/core/src/fleet/fleet_members.ts
@@ -0,0 +1,84 @@
+import type {Beat} from './messages/beat.js';
+import type {GatewayMember} from './gateway_member.js';
+import type {MemberRecord} from './member_record.js';
+
+/** A member that was silent for longer counts as dead. */
+const DEAD_AFTER_MS = 2_600;
+/** A dead member is contacted for this long, in case it comes back. */
+const FORGET_AFTER_MS = 60_000;
+
+/** The other gateways of the fleet. */
+export interface FleetMembers {
+  /** Notes an address that may be a gateway's. */
+  know(nowMs: number, record: MemberRecord): void;
+  /** Notes a sign of life; false if it comes from an earlier start. */
+  heard(nowMs: number, address: string, incarnation: number): boolean;
+  beat(address: string, beat: Beat): void;
+  get(address: string): GatewayMember | undefined;
+  all(): Iterable<GatewayMember>;
+  alive(nowMs: number): GatewayMember[];
+  /** Gateways that are alive, this one included. */
+  size(nowMs: number): number;
+  /** Forgets members that were silent for long; returns their addresses. */
+  prune(nowMs: number): string[];
+}
+
+/** Creates the members of a fleet of one. */
+export function createFleetMembers(self: string): FleetMembers {
+  const members = new Map<string, GatewayMember>();
+
+  function know(nowMs: number, record: MemberRecord): void {
+    if (record.address === self || members.has(record.address)) return;
+    members.set(record.address, {
+      address: record.address,
+      failureDomain: record.failureDomain,
+      incarnation: 0,
+      heardMs: undefined,
+      knownMs: nowMs,
+      storeReachable: false,
+      draining: false,
+    });
+  }
+
+  function heard(nowMs: number, address: string, incarnation: number): boolean {
+    know(nowMs, {address, failureDomain: '', incarnation: 0});
+    const member = members.get(address);
+    if (!member || incarnation < member.incarnation) return false;
+    member.incarnation = incarnation;
+    member.heardMs = nowMs;
+    return true;
+  }
+
+  function beat(address: string, message: Beat): void {
+    const member = members.get(address);
+    if (!member) return;
+    member.failureDomain = message.failureDomain;
+    member.storeReachable = message.storeReachable;
+    member.draining = message.draining;
+  }
+
+  function alive(nowMs: number): GatewayMember[] {
+    return [...members.values()].filter(
+      ({heardMs}) => heardMs !== undefined && nowMs - heardMs < DEAD_AFTER_MS,
+    );
+  }
+
+  function prune(nowMs: number): string[] {
+    const forgotten = [...members.values()].filter(
+      ({heardMs, knownMs}) => nowMs - (heardMs ?? knownMs) >= FORGET_AFTER_MS,
+    );
+    for (const {address} of forgotten) members.delete(address);
+    return forgotten.map(({address}) => address);
+  }
+
+  return {
+    know,
+    heard,
+    beat,
+    get: address => members.get(address),
+    all: () => members.values(),
+    alive,
+    size: nowMs => alive(nowMs).length + 1,
+    prune,
+  };
+}
--- /dev/null
+++ b/packages/core/src/fleet/messages/beat.ts
@@ -0,0 +1,15 @@
+import type {WorkNotice} from './work_notice.js';
+
+/** Regular message by which gateways know that others live. */
+export interface Beat {
+  kind: 'beat';
+  failureDomain: string;
+  /** Whether the sender's last call of the store was answered. */
+  storeReachable: boolean;
+  /** Whether the sender is shutting down. */
+  draining: boolean;
+  /** The sender does not know the receiver and asks for a beat. */
+  wantsReply: boolean;
+  /** All work of the sender. */
+  work: WorkNotice[];
+}
--- /dev/null
+++ b/packages/core/src/fleet/messages/work_notice.ts
@@ -0,0 +1,20 @@
+/** Work that a gateway has in flight on endpoints. */
+export interface WorkNotice {
+  /** Unique among the work of one start of a gateway. */
+  work: number;
+  /** Id of the endpoint that answers. */
+  main: string;
+  /** Ids of engines that read parts of the prompt. */
+  helpers: string[];
+  promptTokens: number;
+  /** Expected tokens of the answer. */
+  outputTokens: number;
+  /** Time until the first piece is due, in milliseconds; may be negative. */
+  dueInMs: number;
+  /** Longest pause between two pieces; 0 for work that is no stream. */
+  gapMs: number;
+  /** Time since it was sent to the endpoint. */
+  ageMs: number;
+  /** Whether the first piece has arrived. */
+  writing: boolean;
+}
--- /dev/null
+++ b/packages/core/src/fleet/work.ts
@@ -0,0 +1,17 @@
+/** Work in flight on endpoints, of this gateway or of another one. */
+export interface Work {
+  /** Peer address of its gateway. */
+  member: string;
+  /** Unique among the work of one start of the gateway. */
+  work: number;
+  main: string;
+  helpers: string[];
+  promptTokens: number;
+  outputTokens: number;
+  /** Steady clock; the first piece is due then. */
+  dueMs: number;
+  gapMs: number;
+  /** Steady clock; it was sent to the endpoint then. */
+  startedMs: number;
+  writing: boolean;
+}
--- /dev/null
+++ b/packages/core/src/forwarding/admission.ts
@@ -0,0 +1,42 @@
+import {pickService} from '../configuration/pick_service.js';
+import type {PublishedConfiguration} from '../configuration/published_configuration.js';
+import type {RequestArrived} from '../gateway/events/request_arrived.js';
+import {createAttemptHistory} from '../requests/attempt_history.js';
+import {Err, Ok, type Result} from '../shared/result.js';
+import type {RandomSource} from '../types/random_source.js';
+import type {ForwardedRequest} from './forwarded_request.js';
+import type {Refusal} from './refusal.js';
+
+/** Matches a request with the configuration, or says why it is refused. */
+export function admitRequest(
+  configuration: PublishedConfiguration,
+  arrived: RequestArrived,
+  nowMs: number,
+  random: RandomSource,
+): Result<ForwardedRequest, Refusal> {
+  const current = configuration.current();
+  if (!current) return Err('not_ready');
+  const route = configuration.routes().find(arrived.host, arrived.path);
+  if (!route) return Err('unknown_route');
+  const customer = configuration.keys().holder(arrived.bearerKey);
+  const needsKey = current.customers !== undefined && !route.public;
+  if (needsKey && !customer) return Err('unknown_key');
+  const {remainingMs} = arrived;
+  return Ok({
+    reqId: arrived.reqId,
+    arrived,
+    route,
+    service: pickService(route, random),
+    customer,
+    arrivedMs: nowMs,
+    deadlineMs: nowMs + Math.min(route.timeoutMs, remainingMs ?? Infinity),
+    callerDeadlineMs:
+      remainingMs === undefined ? undefined : nowMs + remainingMs,
+    history: createAttemptHistory(),
+    attempts: 0,
+    current: undefined,
+    failedAt: new Set(),
+    lastPiece: arrived.resumeAfter,
+    begun: false,
+  });
+}
--- /dev/null
+++ b/packages/core/src/forwarding/forwarding.ts
@@ -0,0 +1,356 @@
+import type {PublishedConfiguration} from '../configuration/published_configuration.js';
+import type {EndpointHealth} from '../endpoint_health/endpoint_health.js';
+import type {FleetGossip} from '../fleet/fleet_gossip.js';
+import type {FleetMembers} from '../fleet/fleet_members.js';
+import type {AnswerReceived} from '../gateway/events/answer_received.js';
+import type {AttemptFailed} from '../gateway/events/attempt_failed.js';
+import type {CallerLeft} from '../gateway/events/caller_left.js';
+import type {PieceReceived} from '../gateway/events/piece_received.js';
+import type {RequestArrived} from '../gateway/events/request_arrived.js';
+import type {StreamEnded} from '../gateway/events/stream_ended.js';
+import type {GatewayContext} from '../gateway/gateway_context.js';
+import type {GatewayFeature} from '../gateway/gateway_feature.js';
+import type {EndpointSelection} from '../spread/endpoint_selection.js';
+import type {EndpointChoice} from '../spread/endpoint_choice.js';
+import type {AttemptFailure} from '../types/attempt_failure.js';
+import {admitRequest} from './admission.js';
+import {choiceRequestOf} from './choice_request_of.js';
+import type {CurrentAttempt} from './current_attempt.js';
+import type {ForwardedRequest} from './forwarded_request.js';
+import type {Refusal} from './refusal.js';
+import {refuse, reportEnd} from './report_end.js';
+import type {RetryAllowance} from './retry_allowance.js';
+import {retryDenial} from './retry_denial.js';
+import {silenceLimitMs} from './silence_limit.js';
+import {startAttemptOf} from './start_attempt_of.js';
+
+/** When a caller whose request found no endpoint may come back. */
+const RETRY_AFTER_MS = 250;
+const SERVER_ERROR_STATUS = 500;
+
+/** Requests from their arrival to their final answer. */
+export interface Forwarding extends GatewayFeature {
+  inFlight(): number;
+  /** Ends everything that is in flight. */
+  cutAll(ctx: GatewayContext): void;
+}
+
+/** What the forwarding works on. */
+export interface ForwardingParts {
+  configuration: PublishedConfiguration;
+  selection: EndpointSelection;
+  health: EndpointHealth;
+  members: FleetMembers;
+  gossip: FleetGossip;
+  allowance: RetryAllowance;
+  /** Why no request is taken now; undefined if requests are taken. */
+  closed(): Refusal | undefined;
+  /** Peer address of this gateway. */
+  self: string;
+}
+
+/** Creates a forwarding without requests. */
+export function createForwarding(parts: ForwardingParts): Forwarding {
+  const {configuration, selection, health, members, gossip, allowance} = parts;
+  const requests = new Map<string, ForwardedRequest>();
+  let works = 0;
+
+  function arrived(ctx: GatewayContext, event: RequestArrived): void {
+    const closed = parts.closed();
+    if (closed) return refuse(ctx, event.reqId, closed, RETRY_AFTER_MS);
+    const {nowMs, random} = ctx;
+    const admitted = admitRequest(configuration, event, nowMs, random);
+    if (!admitted.ok) return refuse(ctx, event.reqId, admitted.val, undefined);
+    const req = admitted.val;
+    requests.set(req.reqId, req);
+    allowance.requested(nowMs, req.service);
+    dispatch(ctx, req);
+  }
+
+  function dispatch(ctx: GatewayContext, req: ForwardedRequest): void {
+    const {nowMs, random} = ctx;
+    const wanted = choiceRequestOf(req, nowMs);
+    const {service, failedAt} = req;
+    const choice = selection.select(nowMs, service, wanted, failedAt, random);
+    if (!choice) return giveUp(ctx, req, 'overloaded');
+    start(ctx, req, choice);
+  }
+
+  function start(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    choice: EndpointChoice,
+  ): void {
+    const {nowMs} = ctx;
+    works += 1;
+    req.attempts += 1;
+    req.history.started();
+    req.current = {
+      attempt: req.attempts,
+      choice,
+      work: works,
+      startedMs: nowMs,
+      progressMs: nowMs,
+      pieces: 0,
+    };
+    const {promptTokens, outputTokens, dueInMs, gapMs} = choiceRequestOf(
+      req,
+      nowMs,
+    );
+    gossip.started({
+      member: parts.self,
+      work: works,
+      main: choice.main.id,
+      helpers: choice.helpers.map(({id}) => id),
+      promptTokens,
+      outputTokens,
+      dueMs: nowMs + dueInMs,
+      gapMs,
+      startedMs: nowMs,
+      writing: false,
+    });
+    ctx.emit(startAttemptOf(req, choice, maxConnections(nowMs, req), nowMs));
+    ctx.emit({
+      kind: 'write_log',
+      event: 'WL8301',
+      fields: {
+        reqId: req.reqId,
+        route: req.route.name,
+        attempt: req.attempts,
+        endpoint: choice.main.id,
+        helpers: choice.helpers.length,
+        promptTokens,
+        dueInMs: Math.round(dueInMs),
+        expectedMs: choice.expectedMs,
+        loss: choice.loss,
+        version: configuration.version(),
+        reason: choice.reason,
+      },
+    });
+  }
+
+  function maxConnections(nowMs: number, req: ForwardedRequest): number {
+    const limit = configuration.service(req.service)?.connectionLimit ?? 0;
+    return Math.max(1, Math.floor(limit / members.size(nowMs)));
+  }
+
+  function currentOf(
+    reqId: string,
+    attempt: number,
+  ): {req: ForwardedRequest; current: CurrentAttempt} | undefined {
+    const req = requests.get(reqId);
+    if (!req?.current || req.current.attempt !== attempt) return undefined;
+    return {req, current: req.current};
+  }
+
+  function piece(ctx: GatewayContext, event: PieceReceived): void {
+    const found = currentOf(event.reqId, event.attempt);
+    if (!found) return;
+    const {req, current} = found;
+    current.progressMs = ctx.nowMs;
+    if (event.piece <= req.lastPiece) return;
+    if (event.piece !== req.lastPiece + 1) {
+      ctx.emit({
+        kind: 'cancel_attempt',
+        reqId: req.reqId,
+        attempt: event.attempt,
+      });
+      return attemptFailed(ctx, req, current, 'broken', 'piece missing');
+    }
+    if (current.pieces === 0) firstPiece(ctx, current);
+    current.pieces += 1;
+    req.lastPiece = event.piece;
+    begin(ctx, req, event.attempt);
+    ctx.emit({kind: 'deliver_piece', reqId: req.reqId, payload: event.payload});
+  }
+
+  function firstPiece(ctx: GatewayContext, current: CurrentAttempt): void {
+    const {main, expectedMs} = current.choice;
+    gossip.writing(current.work);
+    health.succeeded(main.id);
+    health.observed(main.id, ctx.nowMs - current.startedMs, expectedMs);
+  }
+
+  function begin(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    attempt: number,
+  ): void {
+    if (req.begun) return;
+    req.begun = true;
+    ctx.emit({kind: 'begin_stream', reqId: req.reqId, attempt});
+    const firstMs = Math.round(ctx.nowMs - req.arrivedMs);
+    ctx.emit({
+      kind: 'observe',
+      metric: 'first_piece_ms',
+      labels: {service: req.service},
+      value: firstMs,
+    });
+  }
+
+  function streamEnded(ctx: GatewayContext, event: StreamEnded): void {
+    const found = currentOf(event.reqId, event.attempt);
+    if (!found) return;
+    const {req, current} = found;
+    health.succeeded(current.choice.main.id);
+    begin(ctx, req, event.attempt);
+    ctx.emit({kind: 'end_stream', reqId: req.reqId});
+    finish(ctx, req, 'completed', '');
+  }
+
+  function answered(ctx: GatewayContext, event: AnswerReceived): void {
+    const found = currentOf(event.reqId, event.attempt);
+    if (!found) return;
+    const {req, current} = found;
+    if (event.status >= SERVER_ERROR_STATUS && mayRepeat(ctx, req)) {
+      gossip.ended(current.work);
+      req.failedAt.add(current.choice.main.id);
+      return dispatch(ctx, req);
+    }
+    if (event.status < SERVER_ERROR_STATUS) {
+      health.succeeded(current.choice.main.id);
+    }
+    const {reqId, attempt} = event;
+    ctx.emit({kind: 'deliver_answer', reqId, attempt});
+    finish(ctx, req, 'completed', `status ${event.status}`);
+  }
+
+  function failed(ctx: GatewayContext, event: AttemptFailed): void {
+    const found = currentOf(event.reqId, event.attempt);
+    if (!found) return;
+    const {req, current} = found;
+    attemptFailed(ctx, req, current, event.failure, event.detail);
+  }
+
+  function attemptFailed(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    current: CurrentAttempt,
+    failure: AttemptFailure,
+    detail: string,
+  ): void {
+    const {main} = current.choice;
+    req.history.failed(failure);
+    req.failedAt.add(main.id);
+    gossip.ended(current.work);
+    req.current = undefined;
+    if (failure !== 'said_not_run') health.failed(ctx, main.id, failure);
+    ctx.emit({
+      kind: 'write_log',
+      event: 'WL8303',
+      fields: {
+        reqId: req.reqId,
+        attempt: current.attempt,
+        endpoint: main.id,
+        failure,
+        detail,
+        pieces: current.pieces,
+        afterMs: Math.round(ctx.nowMs - current.startedMs),
+      },
+    });
+    if (mayRepeat(ctx, req)) return dispatch(ctx, req);
+    giveUp(ctx, req, req.history.notRunProof() ? 'overloaded' : 'broken');
+  }
+
+  /** Takes one repeat of the allowance if the request may be sent again. */
+  function mayRepeat(ctx: GatewayContext, req: ForwardedRequest): boolean {
+    const {nowMs} = ctx;
+    const denial =
+      retryDenial(req, nowMs) ??
+      (allowance.tryTake(nowMs, req.service, members.size(nowMs))
+        ? undefined
+        : 'allowance_used');
+    if (denial === undefined) return true;
+    const fields = {reqId: req.reqId, attempt: req.attempts, denial};
+    ctx.emit({kind: 'write_log', event: 'WL8304', fields});
+    return false;
+  }
+
+  function giveUp(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    refusal: Refusal,
+  ): void {
+    const {reqId} = req;
+    if (req.begun) ctx.emit({kind: 'break_stream', reqId});
+    else {
+      const retryAfterMs =
+        refusal === 'overloaded' ? RETRY_AFTER_MS : undefined;
+      ctx.emit({kind: 'refuse', reqId, refusal, retryAfterMs});
+    }
+    finish(ctx, req, 'failed', refusal);
+  }
+
+  function finish(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    outcome: string,
+    detail: string,
+  ): void {
+    if (req.current) gossip.ended(req.current.work);
+    requests.delete(req.reqId);
+    reportEnd(ctx, req, outcome, detail);
+  }
+
+  function callerLeft(ctx: GatewayContext, event: CallerLeft): void {
+    const req = requests.get(event.reqId);
+    if (!req) return;
+    cancel(ctx, req);
+    finish(ctx, req, 'caller_left', '');
+  }
+
+  function cancel(ctx: GatewayContext, req: ForwardedRequest): void {
+    if (!req.current) return;
+    const {attempt} = req.current;
+    ctx.emit({kind: 'cancel_attempt', reqId: req.reqId, attempt});
+  }
+
+  function expire(ctx: GatewayContext): void {
+    for (const req of [...requests.values()]) {
+      if (ctx.nowMs >= req.deadlineMs) timedOut(ctx, req);
+      else checkSilence(ctx, req);
+    }
+  }
+
+  function timedOut(ctx: GatewayContext, req: ForwardedRequest): void {
+    cancel(ctx, req);
+    const unrun = req.history.notRunProof() !== undefined;
+    giveUp(ctx, req, unrun ? 'timed_out_unrun' : 'timed_out');
+  }
+
+  function checkSilence(ctx: GatewayContext, req: ForwardedRequest): void {
+    const {current} = req;
+    const limitMs = silenceLimitMs(req);
+    if (!current || limitMs === undefined) return;
+    if (ctx.nowMs - current.progressMs < limitMs) return;
+    // Nothing is gained by ending an attempt that cannot be replaced.
+    if (retryDenial(req, ctx.nowMs)) return;
+    current.progressMs = ctx.nowMs;
+    const gateways = members.size(ctx.nowMs);
+    if (allowance.left(ctx.nowMs, req.service, gateways) < 1) return;
+    cancel(ctx, req);
+    attemptFailed(ctx, req, current, 'broken', 'silent');
+  }
+
+  function cutAll(ctx: GatewayContext): void {
+    for (const req of [...requests.values()]) {
+      cancel(ctx, req);
+      const unrun = req.history.notRunProof() !== undefined;
+      giveUp(ctx, req, unrun ? 'draining' : 'broken');
+    }
+  }
+
+  return {
+    handlers: {
+      request_arrived: arrived,
+      caller_left: callerLeft,
+      piece_received: piece,
+      stream_ended: streamEnded,
+      answer_received: answered,
+      attempt_failed: failed,
+    },
+    expire,
+    inFlight: () => requests.size,
+    cutAll,
+  };
+}
--- /dev/null
+++ b/packages/core/src/forwarding/report_end.ts
@@ -0,0 +1,48 @@
+import type {GatewayContext} from '../gateway/gateway_context.js';
+import type {ForwardedRequest} from './forwarded_request.js';
+import type {Refusal} from './refusal.js';
+
+/** Refuses a request that was not admitted. */
+export function refuse(
+  ctx: GatewayContext,
+  reqId: string,
+  refusal: Refusal,
+  retryAfterMs: number | undefined,
+): void {
+  ctx.emit({kind: 'refuse', reqId, refusal, retryAfterMs});
+  const fields = {reqId, outcome: 'refused', detail: refusal};
+  ctx.emit({kind: 'write_log', event: 'WL8302', fields});
+  count(ctx, '', 'refused');
+}
+
+/** Reports how an admitted request ended. */
+export function reportEnd(
+  ctx: GatewayContext,
+  req: ForwardedRequest,
+  outcome: string,
+  detail: string,
+): void {
+  ctx.emit({
+    kind: 'write_log',
+    event: 'WL8302',
+    fields: {
+      reqId: req.reqId,
+      route: req.route.name,
+      outcome,
+      detail,
+      attempts: req.attempts,
+      pieces: req.lastPiece,
+      afterMs: Math.round(ctx.nowMs - req.arrivedMs),
+    },
+  });
+  count(ctx, req.service, outcome);
+}
+
+function count(ctx: GatewayContext, service: string, outcome: string): void {
+  ctx.emit({
+    kind: 'observe',
+    metric: 'forwarded_total',
+    labels: {service, outcome},
+    value: 1,
+  });
+}
--- /dev/null
+++ b/packages/core/src/forwarding/retry_allowance.ts
@@ -0,0 +1,70 @@
+/** Bounds how often work is sent a second time, over all gateways. */
+export interface RetryAllowance {
+  /** Notes a caller's request for a service. */
+  requested(nowMs: number, service: string): void;
+  /**
+   * Takes one repeat; false if the share of this gateway is used up.
+   * @param gateways gateways that share the allowance
+   */
+  tryTake(nowMs: number, service: string, gateways: number): boolean;
+  /** Repeats that are left to this gateway. */
+  left(nowMs: number, service: string, gateways: number): number;
+}
+
+/** How many repeats a service may get in any window. */
+export interface RetryAllowanceConfig {
+  /** Repeats for each request of the window. */
+  ratio: number;
+  /** Repeats beyond that, over all gateways. */
+  extra: number;
+  windowMs: number;
+}
+
+/** Part of the allowance that is used, since gateways count separately. */
+const USED_SHARE = 0.8;
+
+interface Counts {
+  requests: number[];
+  repeats: number[];
+}
+
+/** Creates an allowance of which nothing is used. */
+export function createRetryAllowance(
+  cfg: RetryAllowanceConfig,
+): RetryAllowance {
+  const services = new Map<string, Counts>();
+
+  function of(nowMs: number, service: string): Counts {
+    let counts = services.get(service);
+    if (!counts) {
+      counts = {requests: [], repeats: []};
+      services.set(service, counts);
+    }
+    dropBefore(counts.requests, nowMs - cfg.windowMs);
+    dropBefore(counts.repeats, nowMs - cfg.windowMs);
+    return counts;
+  }
+
+  function left(nowMs: number, service: string, gateways: number): number {
+    const {requests, repeats} = of(nowMs, service);
+    const own = requests.length * cfg.ratio + cfg.extra / gateways;
+    return own * USED_SHARE - repeats.length;
+  }
+
+  return {
+    requested: (nowMs, service) => {
+      of(nowMs, service).requests.push(nowMs);
+    },
+    tryTake: (nowMs, service, gateways) => {
+      if (left(nowMs, service, gateways) < 1) return false;
+      of(nowMs, service).repeats.push(nowMs);
+      return true;
+    },
+    left,
+  };
+}
+
+function dropBefore(times: number[], limitMs: number): void {
+  const first = times.findIndex(time => time >= limitMs);
+  times.splice(0, first < 0 ? times.length : first);
+}
--- /dev/null
+++ b/packages/core/src/forwarding/start_attempt_of.ts
@@ -0,0 +1,34 @@
+import type {StartAttempt} from '../gateway/actions/start_attempt.js';
+import type {EndpointChoice} from '../spread/endpoint_choice.js';
+import type {ForwardedRequest} from './forwarded_request.js';
+
+const LEAST_URGENT = 9;
+
+/** The action that sends a request to the chosen endpoint. */
+export function startAttemptOf(
+  req: ForwardedRequest,
+  choice: EndpointChoice,
+  maxConnections: number,
+  nowMs: number,
+): StartAttempt {
+  const {route, customer} = req;
+  const priority = customer?.priority ?? route.priority;
+  return {
+    kind: 'start_attempt',
+    reqId: req.reqId,
+    attempt: req.attempts,
+    endpoint: choice.main.id,
+    address: choice.main.address,
+    maxConnections,
+    streamed: route.kind === 'stream',
+    customer: customer?.name ?? '',
+    remainingMs: Math.max(1, Math.floor(req.deadlineMs - nowMs)),
+    notAfterMs: req.deadlineMs,
+    priority: Math.min(LEAST_URGENT, priority),
+    helpers: choice.helpers.map(({address}) => ({address, ticket: ''})),
+    resumeAfter: req.lastPiece,
+    // A kept connection may break just then, and nobody could tell whether
+    // the request ran.
+    newConnection: route.kind === 'non_idempotent',
+  };
+}
--- /dev/null
+++ b/packages/core/src/gateway/actions/keep_endpoints.ts
@@ -0,0 +1,5 @@
+/** Names the endpoints in use; connections to all others are closed. */
+export interface KeepEndpoints {
+  kind: 'keep_endpoints';
+  endpoints: string[];
+}
--- /dev/null
+++ b/packages/core/src/gateway/events/gateway_event.ts
@@ -0,0 +1,35 @@
+import type {AnswerReceived} from './answer_received.js';
+import type {AttemptFailed} from './attempt_failed.js';
+import type {CallerLeft} from './caller_left.js';
+import type {ConfigurationRead} from './configuration_read.js';
+import type {MemberAnnounced} from './member_announced.js';
+import type {MembersRead} from './members_read.js';
+import type {MemorySettled} from './memory_settled.js';
+import type {PeerReceived} from './peer_received.js';
+import type {PieceReceived} from './piece_received.js';
+import type {RegistryRead} from './registry_read.js';
+import type {RequestArrived} from './request_arrived.js';
+import type {StopRequested} from './stop_requested.js';
+import type {StoreFailed} from './store_failed.js';
+import type {StreamEnded} from './stream_ended.js';
+import type {StreamStarted} from './stream_started.js';
+import type {Tick} from './tick.js';
+
+/** Everything that can happen to a gateway. */
+export type GatewayEvent =
+  | AnswerReceived
+  | AttemptFailed
+  | CallerLeft
+  | ConfigurationRead
+  | MemberAnnounced
+  | MembersRead
+  | MemorySettled
+  | PeerReceived
+  | PieceReceived
+  | RegistryRead
+  | RequestArrived
+  | StopRequested
+  | StoreFailed
+  | StreamEnded
+  | StreamStarted
+  | Tick;
--- /dev/null
+++ b/packages/core/src/gateway/events/stop_requested.ts
@@ -0,0 +1,4 @@
+/** The process was asked to end gracefully. */
+export interface StopRequested {
+  kind: 'stop_requested';
+}
--- /dev/null
+++ b/packages/core/src/gateway/events/store_failed.ts
@@ -0,0 +1,9 @@
+import type {StoreCall} from '../../store_watch/store_call.js';
+import type {StoreFailure} from '../../store_watch/store_failure.js';
+
+/** A call of the store brought nothing. */
+export interface StoreFailed {
+  kind: 'store_failed';
+  call: StoreCall;
+  failure: StoreFailure;
+}
--- /dev/null
+++ b/packages/core/src/gateway/events/tick.ts
@@ -0,0 +1,4 @@
+/** Time passed. */
+export interface Tick {
+  kind: 'tick';
+}
--- /dev/null
+++ b/packages/core/src/gateway/gateway_node.ts
@@ -0,0 +1,117 @@
+import {createPublishedConfiguration} from '../configuration/published_configuration.js';
+import {createDrain} from '../drain/drain.js';
+import {createEndpointHealth} from '../endpoint_health/endpoint_health.js';
+import {createFleetGossip} from '../fleet/fleet_gossip.js';
+import {createFleetMembers} from '../fleet/fleet_members.js';
+import {createWorkBoard} from '../fleet/work_board.js';
+import {createForwarding} from '../forwarding/forwarding.js';
+import type {Refusal} from '../forwarding/refusal.js';
+import {createRetryAllowance} from '../forwarding/retry_allowance.js';
+import {createEndpointRegistry} from '../registry/endpoint_registry.js';
+import {runFeatures} from '../shared/run_features.js';
+import {createEndpointSelection} from '../spread/endpoint_selection.js';
+import {createStoreWatch} from '../store_watch/store_watch.js';
+import type {DecisionNode} from '../types/decision_node.js';
+import type {GatewayAction} from './actions/gateway_action.js';
+import type {GatewayEvent} from './events/gateway_event.js';
+import type {GatewayConfig} from './gateway_config.js';
+import type {GatewayContext} from './gateway_context.js';
+import type {GatewayFeature} from './gateway_feature.js';
+import {createGatewayReadiness} from './gateway_readiness.js';
+
+/** A gateway's decisions: requests, endpoints, store and peers. */
+export function createGatewayNode(
+  cfg: GatewayConfig,
+): DecisionNode<GatewayEvent, GatewayAction> {
+  const configuration = createPublishedConfiguration();
+  const registry = createEndpointRegistry();
+  const health = createEndpointHealth();
+  const members = createFleetMembers(cfg.address);
+  const board = createWorkBoard();
+
+  const store = createStoreWatch({
+    self: cfg.address,
+    members,
+    configuration,
+    registry,
+    configured: ctx => {
+      const limits = configuration.current()?.limits;
+      if (limits) ctx.emit({kind: 'apply_limits', limits});
+    },
+    registered: keepEndpoints,
+  });
+  const gossip = createFleetGossip({
+    self: {
+      address: cfg.address,
+      failureDomain: cfg.failureDomain,
+      incarnation: cfg.incarnation,
+    },
+    seeds: cfg.seeds,
+    members,
+    board,
+    storeReachable: () => store.reachable(),
+    draining: () => drain.stage() !== 'running',
+  });
+  const forwarding = createForwarding({
+    self: cfg.address,
+    configuration,
+    selection: createEndpointSelection({
+      failureDomain: cfg.failureDomain,
+      configuration,
+      registry,
+      health,
+      board,
+    }),
+    health,
+    members,
+    gossip,
+    allowance: createRetryAllowance({
+      ratio: cfg.retryRatio,
+      extra: cfg.retryExtra,
+      windowMs: cfg.retryWindowMs,
+    }),
+    closed,
+  });
+  const drain = createDrain<GatewayContext>({
+    noticeMs: cfg.drainNoticeMs,
+    limitMs: cfg.drainLimitMs,
+    cutAll: ctx => forwarding.cutAll(ctx),
+  });
+
+  function closed(): Refusal | undefined {
+    const stage = drain.stage();
+    if (stage === 'draining' || stage === 'stopped') return 'draining';
+    return store.loaded() ? undefined : 'not_ready';
+  }
+
+  function keepEndpoints(ctx: GatewayContext): void {
+    const endpoints = registry.entries().map(({id}) => id);
+    health.keep(new Set(endpoints));
+    ctx.emit({kind: 'keep_endpoints', endpoints});
+  }
+
+  const shutdown: GatewayFeature = {
+    handlers: {
+      stop_requested: ctx => {
+        drain.stopRequested(ctx, forwarding.inFlight());
+        ctx.emit({kind: 'close_callers', idleToo: false});
+      },
+    },
+    expire: ctx => {
+      const before = drain.stage();
+      drain.advance(ctx, forwarding.inFlight());
+      if (before === 'notice' && drain.stage() === 'draining') {
+        ctx.emit({kind: 'close_callers', idleToo: true});
+      }
+    },
+    settle: ctx => drain.advance(ctx, forwarding.inFlight()),
+  };
+
+  return runFeatures<GatewayEvent, GatewayAction>([
+    store,
+    gossip,
+    forwarding,
+    shutdown,
+    createGatewayReadiness(store, drain),
+  ]);
+}
--- /dev/null
+++ b/packages/core/src/gateway/gateway_readiness.ts
@@ -0,0 +1,25 @@
+import type {StoreWatch} from '../store_watch/store_watch.js';
+import type {Drain} from '../drain/drain.js';
+import type {GatewayContext} from './gateway_context.js';
+import type {GatewayFeature} from './gateway_feature.js';
+
+/** Says whether new callers should come. */
+export function createGatewayReadiness(
+  store: StoreWatch,
+  drain: Drain<GatewayContext>,
+): GatewayFeature {
+  let told: string | undefined;
+
+  return {
+    handlers: {},
+    settle: ctx => {
+      const draining = drain.stage() !== 'running';
+      const ready = !draining && store.loaded();
+      const reason = draining ? 'draining' : ready ? '' : 'nothing read';
+      if (told === `${ready}${reason}`) return;
+      told = `${ready}${reason}`;
+      ctx.emit({kind: 'set_ready', ready, reason});
+      ctx.emit({kind: 'write_log', event: 'WL9005', fields: {ready, reason}});
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/registry/entry_state.ts
@@ -0,0 +1,2 @@
+/** What an endpoint says of itself. */
+export type EntryState = 'ready' | 'leaving';
--- /dev/null
+++ b/packages/core/src/spread/endpoint_candidate.ts
@@ -0,0 +1,11 @@
+import type {EngineLoad} from '../engine_model/engine_load.js';
+import type {EndpointEntry} from '../registry/endpoint_entry.js';
+
+/** An endpoint that may take a request. */
+export interface EndpointCandidate {
+  entry: EndpointEntry;
+  /** Requests and parts of requests that it has, from all gateways. */
+  inFlight: number;
+  /** Set for model engines. */
+  load: EngineLoad | undefined;
+}
--- /dev/null
+++ b/packages/core/src/spread/endpoint_choice.ts
@@ -0,0 +1,14 @@
+import type {EndpointEntry} from '../registry/endpoint_entry.js';
+
+/** Where a request goes, and why. */
+export interface EndpointChoice {
+  /** Endpoint that answers. */
+  main: EndpointEntry;
+  /** Engines that read parts of the prompt. */
+  helpers: EndpointEntry[];
+  /** Expected time to the first piece, or to the answer, in milliseconds. */
+  expectedMs: number;
+  /** Expected loss of worth, see `requestValue`. */
+  loss: number;
+  reason: string;
+}
--- /dev/null
+++ b/packages/core/src/spread/endpoint_selection.ts
@@ -0,0 +1,83 @@
+import type {PublishedConfiguration} from '../configuration/published_configuration.js';
+import type {ServiceSpec} from '../configuration/service_spec.js';
+import type {EndpointHealth} from '../endpoint_health/endpoint_health.js';
+import {estimateLoad} from '../engine_model/estimate_load.js';
+import type {WorkBoard} from '../fleet/work_board.js';
+import type {EndpointEntry} from '../registry/endpoint_entry.js';
+import type {EndpointRegistry} from '../registry/endpoint_registry.js';
+import type {RandomSource} from '../types/random_source.js';
+import type {ChoiceRequest} from './choice_request.js';
+import type {EndpointCandidate} from './endpoint_candidate.js';
+import type {EndpointChoice} from './endpoint_choice.js';
+import type {EndpointChooser} from './endpoint_chooser.js';
+import {LeastLoss} from './least_loss.js';
+import {LeastWork} from './least_work.js';
+
+/** Finds the endpoint of a request among those that may take work. */
+export interface EndpointSelection {
+  select(
+    nowMs: number,
+    service: string,
+    req: ChoiceRequest,
+    avoid: ReadonlySet<string>,
+    random: RandomSource,
+  ): EndpointChoice | undefined;
+}
+
+/** What the selection looks at. */
+export interface EndpointSelectionParts {
+  failureDomain: string;
+  configuration: PublishedConfiguration;
+  registry: EndpointRegistry;
+  health: EndpointHealth;
+  board: WorkBoard;
+}
+
+/** Creates the selection of a gateway. */
+export function createEndpointSelection(
+  parts: EndpointSelectionParts,
+): EndpointSelection {
+  const {configuration, registry, health, board} = parts;
+  const leastWork = new LeastWork(parts.failureDomain);
+  const choosers = new Map<ServiceSpec, EndpointChooser>();
+
+  function chooser(spec: ServiceSpec | undefined): EndpointChooser {
+    if (!spec?.engine) return leastWork;
+    let found = choosers.get(spec);
+    if (!found) {
+      // A new version of the configuration brings new objects.
+      choosers.clear();
+      found = new LeastLoss(parts.failureDomain, spec.engine);
+      choosers.set(spec, found);
+    }
+    return found;
+  }
+
+  function candidate(
+    nowMs: number,
+    entry: EndpointEntry,
+    spec: ServiceSpec | undefined,
+  ): EndpointCandidate {
+    const works = [...board.of(entry.id)];
+    const pace = health.pace(entry.id);
+    const load =
+      spec?.engine && estimateLoad(entry.id, spec.engine, works, pace, nowMs);
+    return {entry, inFlight: works.length, load};
+  }
+
+  return {
+    select: (nowMs, service, req, avoid, random) => {
+      const spec = configuration.service(service);
+      const usable = registry.usable(service);
+      const sound = usable.filter(({id}) => !health.aside(id, nowMs));
+      // Where nothing is sound, a doubtful endpoint is better than none.
+      const pool = [sound, usable]
+        .map(entries => entries.filter(({id}) => !avoid.has(id)))
+        .find(entries => entries.length > 0);
+      const candidates = (pool ?? usable).map(entry =>
+        candidate(nowMs, entry, spec),
+      );
+      return chooser(spec).choose(req, candidates, random);
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/spread/least_loss.ts
@@ -0,0 +1,175 @@
+import type {EngineProfile} from '../configuration/engine_profile.js';
+import type {EngineLoad} from '../engine_model/engine_load.js';
+import {lateness} from '../engine_model/lateness.js';
+import {passMs} from '../engine_model/pass_cost.js';
+import {partReadMs} from '../engine_model/read_cost.js';
+import {requestValue} from '../engine_model/request_value.js';
+import type {EndpointEntry} from '../registry/endpoint_entry.js';
+import type {RandomSource} from '../types/random_source.js';
+import type {ChoiceRequest} from './choice_request.js';
+import type {EndpointCandidate} from './endpoint_candidate.js';
+import type {EndpointChoice} from './endpoint_choice.js';
+import {EndpointChooser} from './endpoint_chooser.js';
+
+/** Engines that share the reading of a prompt. */
+const WIDTHS = [1, 2, 3, 4, 6, 8, 10, 12, 14, 16];
+/** Share of a request's worth that is lost if it is late. */
+const LATE_SHARE = 0.75;
+/** Worth of a second, to prefer what is faster among what is in time. */
+const LOSS_PER_SECOND = 0.1;
+/** Worth of a byte that crosses failure domains. */
+const LOSS_PER_FAR_BYTE = 2e-6;
+/** Bytes of a stream for each token of its answer. */
+const BYTES_PER_TOKEN = 1.8;
+/**
+ * Worth of an engine without strict streams, on which long prompts can be
+ * read; a strict stream that goes there takes this away.
+ */
+const FREE_ENGINE_VALUE = 0.08;
+/** Streams with a shorter pause keep long prompts away from their engine. */
+const STRICT_GAP_MS = 400;
+/** Wait for each request beyond the slots of an engine. */
+const SLOT_WAIT_MS = 300;
+/** Worth of the messages and waits that each helper adds. */
+const LOSS_PER_HELPER = 0.004;
+/** Time on the network to an engine and back. */
+const NETWORK_MS = 8;
+
+/** An engine and what a part of a prompt would do there. */
+interface PricedPart {
+  entry: EndpointEntry;
+  load: EngineLoad;
+  /** Loss of other requests if the engine reads the part. */
+  harm: number;
+  /** Time until the part is read. */
+  readyMs: number;
+}
+
+/**
+ * The engines on which a prompt costs the least worth: of itself by being
+ * late, and of the streams whose pauses its reading stretches.
+ */
+export class LeastLoss extends EndpointChooser {
+  constructor(
+    private readonly failureDomain: string,
+    private readonly profile: EngineProfile,
+  ) {
+    super();
+  }
+
+  override choose(
+    req: ChoiceRequest,
+    candidates: EndpointCandidate[],
+    random: RandomSource,
+  ): EndpointChoice | undefined {
+    let best: EndpointChoice | undefined;
+    for (const width of WIDTHS) {
+      if (width > candidates.length) break;
+      const choice = this.spread(req, candidates, width, random);
+      if (choice && (!best || choice.loss < best.loss)) best = choice;
+      // Short prompts gain nothing from helpers.
+      if (this.readMs(req, width) < this.profile.chunkTokens / 200) break;
+    }
+    return best;
+  }
+
+  private readMs(req: ChoiceRequest, width: number): number {
+    return partReadMs(this.profile, req.promptTokens, width);
+  }
+
+  private spread(
+    req: ChoiceRequest,
+    candidates: EndpointCandidate[],
+    width: number,
+    random: RandomSource,
+  ): EndpointChoice | undefined {
+    const readMs = this.readMs(req, width);
+    const parts = candidates.flatMap(({entry, load}) =>
+      load ? [this.price(entry, load, readMs, width > 1)] : [],
+    );
+    const mains = parts
+      .filter(part => this.hasRoom(req, part.load))
+      .map(part => ({part, loss: part.harm + this.mainLoss(req, part)}))
+      .sort((a, b) => a.loss - b.loss || random() - 0.5);
+    const main = mains[0];
+    if (!main) return undefined;
+    const helpers = parts
+      .filter(part => part !== main.part && part.load.helps < this.slots())
+      .sort((a, b) => a.harm - b.harm || a.readyMs - b.readyMs)
+      .slice(0, width - 1);
+    if (helpers.length < width - 1) return undefined;
+    const readyMs = Math.max(
+      main.part.readyMs,
+      ...helpers.map(part => part.readyMs),
+    );
+    const expectedMs = readyMs + main.part.load.passMs + NETWORK_MS;
+    const value = requestValue(req.promptTokens);
+    const loss =
+      LATE_SHARE * value * lateness(expectedMs, req.dueInMs) +
+      (expectedMs / 1_000) * LOSS_PER_SECOND +
+      main.loss +
+      helpers.reduce((sum, {harm}) => sum + harm + LOSS_PER_HELPER, 0);
+    return {
+      main: main.part.entry,
+      helpers: helpers.map(({entry}) => entry),
+      expectedMs: Math.round(expectedMs),
+      loss: Math.round(loss * 1_000) / 1_000,
+      reason: `least loss on ${width} of ${candidates.length}`,
+    };
+  }
+
+  private price(
+    entry: EndpointEntry,
+    load: EngineLoad,
+    readMs: number,
+    helped: boolean,
+  ): PricedPart {
+    const queuedMs = load.backlogMs + load.passMs;
+    let harm = 0;
+    for (const {gapMs, value, dueInMs} of load.streams) {
+      // A stream whose first piece is not out yet waits for the whole pass.
+      const limitMs = dueInMs ?? gapMs;
+      const added =
+        lateness(queuedMs + readMs, limitMs) - lateness(queuedMs, limitMs);
+      harm += LATE_SHARE * value * added;
+    }
+    const waitMs = helped ? load.backlogMs / 2 : load.backlogMs;
+    const busy = load.streams.length > 0;
+    const boundaryMs = busy ? load.passMs / 2 : 0;
+    const over = Math.max(0, load.requests + 1 - this.slots());
+    return {
+      entry,
+      load,
+      harm,
+      readyMs: waitMs + boundaryMs + readMs + over * SLOT_WAIT_MS,
+    };
+  }
+
+  private mainLoss(req: ChoiceRequest, {entry, load}: PricedPart): number {
+    const far = entry.failureDomain !== this.failureDomain;
+    const bytes = req.bodyBytes + req.outputTokens * BYTES_PER_TOKEN;
+    const strict = req.gapMs <= STRICT_GAP_MS;
+    const joins = load.streams.some(({gapMs}) => gapMs <= STRICT_GAP_MS);
+    return (
+      (far ? bytes * LOSS_PER_FAR_BYTE : 0) +
+      (strict && !joins ? FREE_ENGINE_VALUE : 0) +
+      // Reading that is queued stretches the pauses of a stream that joins.
+      this.pauseLoss(req, load)
+    );
+  }
+
+  private pauseLoss(req: ChoiceRequest, load: EngineLoad): number {
+    const ms = passMs(this.profile, load.streams.length + 1, 0);
+    const value = requestValue(req.promptTokens);
+    return LATE_SHARE * value * lateness(ms, req.gapMs);
+  }
+
+  private hasRoom(req: ChoiceRequest, load: EngineLoad): boolean {
+    const tokens = req.promptTokens + req.outputTokens;
+    return load.heldTokens + tokens <= this.profile.memoryTokens;
+  }
+
+  private slots(): number {
+    return this.profile.slots;
+  }
+}
--- /dev/null
+++ b/packages/core/src/store_watch/store_position.ts
@@ -0,0 +1,18 @@
+/** How far one part of the store was read. */
+export interface StorePosition {
+  /** Offset of the next record; undefined if everything must be listed. */
+  next: number | undefined;
+  /** Steady clock; what is known was the newest at this time. */
+  freshMs: number;
+  /** Steady clock; when the open read was sent. */
+  askedMs: number | undefined;
+}
+
+/** Creates the position of a process that has read nothing. */
+export function createStorePosition(): StorePosition {
+  return {
+    next: undefined,
+    freshMs: Number.NEGATIVE_INFINITY,
+    askedMs: undefined,
+  };
+}
--- /dev/null
+++ b/packages/core/src/tickets/memory_order.ts
@@ -0,0 +1,2 @@
+/** `reserve` also prolongs memory that is set aside already. */
+export type MemoryOrder = 'reserve' | 'release';
