--- /dev/null
+++ b/packages/gateway/src/callers/answer_writer.ts
@@ -0,0 +1,95 @@
+import type {BeginStream} from '@wisterialadder/core/gateway/actions/begin_stream.js';
+import type {BreakStream} from '@wisterialadder/core/gateway/actions/break_stream.js';
+import type {DeliverAnswer} from '@wisterialadder/core/gateway/actions/deliver_answer.js';
+import type {DeliverPiece} from '@wisterialadder/core/gateway/actions/deliver_piece.js';
+import type {EndStream} from '@wisterialadder/core/gateway/actions/end_stream.js';
+import type {Refuse} from '@wisterialadder/core/gateway/actions/refuse.js';
+import type {GatewayEvent} from '@wisterialadder/core/gateway/events/gateway_event.js';
+import type {CallerCodec} from './caller_codec.js';
+import type {OpenRequest} from './open_request.js';
+import type {OpenRequests} from './open_requests.js';
+import {sendRefusal} from './send_refusal.js';
+
+/** A caller that leaves more than this unread is disconnected. */
+const MAX_UNREAD_BYTES = 2_097_152;
+
+/** Writes the answers of callers. */
+export interface AnswerWriter {
+  beginStream(action: BeginStream): void;
+  deliverPiece(action: DeliverPiece): void;
+  endStream(action: EndStream): void;
+  breakStream(action: BreakStream): void;
+  deliverAnswer(action: DeliverAnswer): void;
+  refuse(action: Refuse): void;
+}
+
+/** What the writer needs. */
+export interface AnswerWriterParts {
+  open: OpenRequests;
+  codec: CallerCodec;
+  /** Whether answers end their connections. */
+  closing(): boolean;
+  push(event: GatewayEvent): boolean;
+}
+
+/** Creates the writer of a process. */
+export function createAnswerWriter(parts: AnswerWriterParts): AnswerWriter {
+  const {open, codec} = parts;
+
+  /** Takes a request out, so that its end is not taken for the caller's. */
+  function take(reqId: string): OpenRequest | undefined {
+    const request = open.get(reqId);
+    open.delete(reqId);
+    return request;
+  }
+
+  function writeHead(request: OpenRequest, attempt: number): boolean {
+    const answer = request.answers.get(attempt);
+    const {res} = request;
+    if (!answer || res.headersSent) return false;
+    const headers = [...answer.head.headers];
+    if (parts.closing()) headers.push('connection', 'close');
+    if (answer.body) headers.push('content-length', `${answer.body.length}`);
+    res.writeHead(answer.head.status, headers);
+    return true;
+  }
+
+  function deliverPiece({reqId, payload}: DeliverPiece): void {
+    const request = open.get(reqId);
+    if (!request) return;
+    const {res} = request;
+    res.write(payload);
+    if (res.writableLength <= MAX_UNREAD_BYTES) return;
+    open.delete(reqId);
+    res.destroy();
+    parts.push({kind: 'caller_left', reqId});
+  }
+
+  function deliverAnswer({reqId, attempt}: DeliverAnswer): void {
+    const request = take(reqId);
+    if (!request) return;
+    if (writeHead(request, attempt)) {
+      request.res.end(request.answers.get(attempt)?.body);
+    } else request.res.destroy();
+  }
+
+  function refuse({reqId, refusal, retryAfterMs}: Refuse): void {
+    const request = take(reqId);
+    if (!request) return;
+    const {res, callerId} = request;
+    if (parts.closing()) res.setHeader('connection', 'close');
+    sendRefusal(res, codec.refusal(refusal, callerId, retryAfterMs));
+  }
+
+  return {
+    beginStream: ({reqId, attempt}) => {
+      const request = open.get(reqId);
+      if (request) writeHead(request, attempt);
+    },
+    deliverPiece,
+    endStream: ({reqId}) => take(reqId)?.res.end(),
+    breakStream: ({reqId}) => take(reqId)?.res.destroy(),
+    deliverAnswer,
+    refuse,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/callers/caller_server.ts
@@ -0,0 +1,170 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import type {CallerLimits} from '@wisterialadder/core/configuration/caller_limits.js';
+import type {GatewayEvent} from '@wisterialadder/core/gateway/events/gateway_event.js';
+import {splitAddress} from '@wisterialadder/runtime/http/http_server.js';
+import type {Disposable} from '@wisterialadder/runtime/lifecycle/disposable.js';
+import type {CallerCodec} from './caller_codec.js';
+import type {CallerHead} from './caller_head.js';
+import type {CallerRequest} from './caller_request.js';
+import type {OpenRequests} from './open_requests.js';
+import {readBody} from './read_body.js';
+import {sendRefusal} from './send_refusal.js';
+
+/** Largest head that is read at all; the published limit is lower. */
+const MAX_HEAD_BYTES = 131_072;
+/** Pause between two checks of the time that a head may take. */
+const CHECK_INTERVAL_MS = 500;
+/** Idle connections are kept a little longer than callers count on. */
+const IDLE_MARGIN_MS = 1_000;
+/** Time that callers get to send a whole request. */
+const REQUEST_TIMEOUT_MS = 60_000;
+
+/** Takes requests of callers. */
+export interface CallerServer extends Disposable {
+  readonly address: string;
+  applyLimits(limits: CallerLimits): void;
+  /** Each answer ends its connection from now on. */
+  closeCallers(idleToo: boolean): void;
+  /** Whether answers end their connections. */
+  closing(): boolean;
+}
+
+/** What the server needs. */
+export interface CallerServerParts {
+  address: string;
+  codec: CallerCodec;
+  open: OpenRequests;
+  push(event: GatewayEvent): boolean;
+  onError(err: unknown): void;
+}
+
+/** Starts the server; rejects if the address cannot be bound. */
+export async function startCallerServer(
+  parts: CallerServerParts,
+): Promise<CallerServer> {
+  const {codec, open} = parts;
+  let limits: CallerLimits | undefined;
+  let closing = false;
+  let numbered = 0;
+
+  const server = createServer(
+    {
+      maxHeaderSize: MAX_HEAD_BYTES,
+      connectionsCheckingInterval: CHECK_INTERVAL_MS,
+      keepAlive: true,
+      noDelay: true,
+    },
+    (req, res) => {
+      handle(req, res).catch((err: unknown) => {
+        parts.onError(err);
+        res.destroy();
+      });
+    },
+  );
+  server.requestTimeout = REQUEST_TIMEOUT_MS;
+
+  async function handle(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const head: CallerHead = {
+      method: req.method ?? '',
+      target: req.url ?? '',
+      headers: req.headers,
+      rawHeaders: req.rawHeaders,
+    };
+    const read = codec.read(head);
+    if (!read.ok) return refuse(res, 'bad_request', '');
+    const request = read.val;
+    if (headBytes(head) > (limits?.maxHeadBytes ?? MAX_HEAD_BYTES)) {
+      return refuse(res, 'head_too_large', request.callerId);
+    }
+    const body = await readBody(req, limits?.maxBodyBytes);
+    if (body === 'broken') return;
+    if (body === 'too_large') {
+      return refuse(res, 'body_too_large', request.callerId);
+    }
+    accept(head, request, body, res);
+  }
+
+  function refuse(
+    res: ServerResponse,
+    refusal: 'bad_request' | 'head_too_large' | 'body_too_large',
+    callerId: string,
+  ): void {
+    res.setHeader('connection', 'close');
+    sendRefusal(res, codec.refusal(refusal, callerId, undefined));
+  }
+
+  function accept(
+    head: CallerHead,
+    request: CallerRequest,
+    body: Buffer,
+    res: ServerResponse,
+  ): void {
+    const {callerId, ...fields} = request;
+    const reqId = uniqueId(callerId);
+    res.on('close', () => {
+      if (!open.delete(reqId)) return;
+      parts.push({kind: 'caller_left', reqId});
+    });
+    if (res.destroyed || res.closed) return;
+    open.set(reqId, {head, callerId, body, res, answers: new Map()});
+    const bodyBytes = body.length;
+    parts.push({kind: 'request_arrived', reqId, ...fields, bodyBytes});
+  }
+
+  /** Callers may repeat an id while its request is open. */
+  function uniqueId(callerId: string): string {
+    if (callerId !== '' && !open.has(callerId)) return callerId;
+    numbered += 1;
+    return `${callerId}#${numbered}`;
+  }
+
+  await listen(server, parts.address);
+  server.on('error', parts.onError);
+  const {host} = splitAddress(parts.address);
+
+  return {
+    address: `${host}:${(server.address() as AddressInfo).port}`,
+    applyLimits: next => {
+      limits = next;
+      server.headersTimeout = next.headTimeoutMs;
+      server.keepAliveTimeout = next.idleTimeoutMs + IDLE_MARGIN_MS;
+    },
+    closeCallers: idleToo => {
+      closing = true;
+      if (idleToo) server.closeIdleConnections();
+    },
+    closing: () => closing,
+    dispose: () =>
+      new Promise(resolve => {
+        server.close(() => resolve());
+        server.closeIdleConnections();
+        for (const {res} of open.values()) res.destroy();
+      }),
+  };
+}
+
+function headBytes({method, target, rawHeaders}: CallerHead): number {
+  // Each header has a colon, a space and a line end besides.
+  return rawHeaders.reduce(
+    (sum, text) => sum + text.length + 2,
+    method.length + target.length,
+  );
+}
+
+async function listen(server: Server, address: string): Promise<void> {
+  const {host, port} = splitAddress(address);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+  server.removeAllListeners('error');
+}
--- /dev/null
+++ b/packages/gateway/src/callers/open_requests.ts
@@ -0,0 +1,4 @@
+import type {OpenRequest} from './open_request.js';
+
+/** Requests without a final answer, by their id. */
+export type OpenRequests = Map<string, OpenRequest>;
--- /dev/null
+++ b/packages/gateway/src/callers/refusal_head.ts
@@ -0,0 +1,5 @@
+/** Head of an answer that this process gives by itself. */
+export interface RefusalHead {
+  status: number;
+  headers: Record<string, string>;
+}
--- /dev/null
+++ b/packages/gateway/src/endpoints/attempt_runner.ts
@@ -0,0 +1,112 @@
+import {performance} from 'node:perf_hooks';
+import type {CancelAttempt} from '@wisterialadder/core/gateway/actions/cancel_attempt.js';
+import type {StartAttempt} from '@wisterialadder/core/gateway/actions/start_attempt.js';
+import type {GatewayEvent} from '@wisterialadder/core/gateway/events/gateway_event.js';
+import type {AttemptFailure} from '@wisterialadder/core/types/attempt_failure.js';
+import type {Disposable} from '@wisterialadder/runtime/lifecycle/disposable.js';
+import type {OpenRequests} from '../callers/open_requests.js';
+import {createAttemptHandler} from './attempt_handler.js';
+import type {AttemptSink} from './attempt_sink.js';
+import {createConnectionPool} from './connection_pool.js';
+import type {EndpointCodec} from './endpoint_codec.js';
+
+/** Carries out attempts against endpoints. */
+export interface AttemptRunner extends Disposable {
+  start(action: StartAttempt): void;
+  cancel(action: CancelAttempt): void;
+  /** Closes idle connections to all other endpoints. */
+  keepEndpoints(endpoints: string[]): void;
+}
+
+/** What the runner needs. */
+export interface AttemptRunnerParts {
+  open: OpenRequests;
+  codec: EndpointCodec;
+  push(event: GatewayEvent): void;
+}
+
+/** Creates a runner without connections. */
+export function createAttemptRunner(parts: AttemptRunnerParts): AttemptRunner {
+  const pool = createConnectionPool();
+  const running = new Map<string, () => void>();
+
+  function start(action: StartAttempt): void {
+    const {reqId, attempt} = action;
+    const open = parts.open.get(reqId);
+    if (!open) return;
+    if (performance.now() >= action.notAfterMs) {
+      return failed(action, 'connect_failed', 'too late to send');
+    }
+    const lease = pool.take(
+      action.endpoint,
+      action.address,
+      action.maxConnections,
+      action.newConnection,
+    );
+    if (!lease) return failed(action, 'said_not_run', 'no connection left');
+    const key = attemptKey(action);
+    const handler = createAttemptHandler({
+      action,
+      lease,
+      codec: parts.codec,
+      callerId: open.callerId,
+      sink: sinkFor(action),
+      answered: answer => open.answers.set(attempt, answer),
+      ended: () => running.delete(key),
+    });
+    running.set(key, handler.cancel);
+    const {head, body, callerId} = open;
+    lease.connection.dispatch(
+      {
+        path: head.target,
+        method: head.method as 'GET',
+        headers: parts.codec.headers(action, head, callerId),
+        body: body.length > 0 ? body : null,
+      },
+      handler,
+    );
+  }
+
+  function failed(
+    action: StartAttempt,
+    failure: AttemptFailure,
+    detail: string,
+  ): void {
+    sinkFor(action).failed(failure, detail, '');
+  }
+
+  function sinkFor({reqId, attempt}: StartAttempt): AttemptSink {
+    const {push} = parts;
+    return {
+      streamStarted: () => push({kind: 'stream_started', reqId, attempt}),
+      piece: (piece, payload) =>
+        push({kind: 'piece_received', reqId, attempt, piece, payload}),
+      streamEnded: () => push({kind: 'stream_ended', reqId, attempt}),
+      answered: status =>
+        push({kind: 'answer_received', reqId, attempt, status}),
+      failed: (failure, detail, atFault) =>
+        push({
+          kind: 'attempt_failed',
+          reqId,
+          attempt,
+          failure,
+          detail,
+          atFault,
+        }),
+    };
+  }
+
+  return {
+    start,
+    cancel: action => running.get(attemptKey(action))?.(),
+    keepEndpoints: pool.keep,
+    dispose: () => {
+      for (const cancel of [...running.values()]) cancel();
+      return pool.dispose();
+    },
+  };
+}
+
+function attemptKey(action: {reqId: string; attempt: number}): string {
+  return `${action.reqId}/${action.attempt}`;
+}
--- /dev/null
+++ b/packages/gateway/src/endpoints/engine_connection.ts
@@ -0,0 +1,91 @@
+import {connect, type Socket} from 'node:net';
+import {Client, type Dispatcher} from 'undici';
+
+/** A connection that is not established by then has failed. */
+const CONNECT_TIMEOUT_MS = 400;
+/** Bytes of an answer's head that an endpoint may send. */
+const MAX_HEAD_BYTES = 65_536;
+
+/** One connection to an endpoint, with one request at a time. */
+export interface EngineConnection {
+  readonly address: string;
+  /** Sends a request; the handler learns what becomes of it. */
+  dispatch(
+    options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+  ): void;
+  /** Closes the connection at once. */
+  destroy(): void;
+}
+
+/**
+ * Creates a connection, established with its first request.
+ * @param closed called once when it can carry no further request
+ */
+export function createEngineConnection(
+  address: string,
+  closed: () => void,
+): EngineConnection {
+  let established = false;
+  let ended = false;
+  const client = new Client(`http://${address}`, {
+    pipelining: 1,
+    // The pool closes idle connections and the core judges every timeout.
+    keepAliveTimeout: 600_000,
+    keepAliveMaxTimeout: 600_000,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    maxHeaderSize: MAX_HEAD_BYTES,
+    connect: (options, callback) => {
+      if (established) {
+        // Each connection is opened once, so that the pool can count them.
+        callback(new Error('connection is closed'), null);
+        return;
+      }
+      openSocket(options.hostname, Number(options.port), (err, socket) => {
+        if (socket) established = true;
+        if (err) callback(err, null);
+        else callback(null, socket as Socket);
+      });
+    },
+  });
+  client.on('disconnect', end);
+  client.on('connectionError', end);
+
+  function end(): void {
+    if (ended) return;
+    ended = true;
+    closed();
+    void client.destroy();
+  }
+
+  return {
+    address,
+    dispatch: (options, handler) => {
+      client.dispatch(options, handler);
+    },
+    destroy: end,
+  };
+}
+
+function openSocket(
+  host: string,
+  port: number,
+  done: (err: Error | undefined, socket?: Socket) => void,
+): void {
+  const socket = connect({host, port, noDelay: true});
+  const timer = setTimeout(
+    () => socket.destroy(new Error('connect timeout')),
+    CONNECT_TIMEOUT_MS,
+  );
+  const failed = (err: Error): void => {
+    clearTimeout(timer);
+    done(err);
+  };
+  socket.once('error', failed);
+  socket.once('connect', () => {
+    clearTimeout(timer);
+    socket.removeListener('error', failed);
+    done(undefined, socket);
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/gateway_config_of.ts
@@ -0,0 +1,30 @@
+import type {GatewayConfig} from '@wisterialadder/core/gateway/gateway_config.js';
+import {splitAddress} from '@wisterialadder/runtime/http/http_server.js';
+import type {SettingsOf} from '@wisterialadder/runtime/settings/settings_definition.js';
+import type {GATEWAY_SETTINGS} from './settings.js';
+
+const MS_PER_SECOND = 1_000;
+/** Time before the end of the grace period at which everything is cut. */
+const CUT_MARGIN_MS = 700;
+
+/** Settings of the decisions, from those of the program. */
+export function gatewayConfigOf(
+  cfg: SettingsOf<typeof GATEWAY_SETTINGS>,
+  address: string,
+  incarnation: number,
+): GatewayConfig {
+  const {port} = splitAddress(address);
+  return {
+    address,
+    failureDomain: cfg.vm.failure_domain,
+    incarnation,
+    seeds: cfg.peers.seeds
+      .map(seed => `${splitAddress(seed).host}:${port}`)
+      .filter(seed => seed !== address),
+    drainNoticeMs: cfg.shutdown.notice,
+    drainLimitMs: cfg.shutdown.grace * MS_PER_SECOND - CUT_MARGIN_MS,
+    retryRatio: cfg.retries.ratio,
+    retryExtra: cfg.retries.extra,
+    retryWindowMs: cfg.retries.window * MS_PER_SECOND,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/gateway_program.ts
@@ -0,0 +1,151 @@
+import {never} from 'most';
+import type {GatewayAction} from '@wisterialadder/core/gateway/actions/gateway_action.js';
+import type {GatewayEvent} from '@wisterialadder/core/gateway/events/gateway_event.js';
+import {createGatewayNode} from '@wisterialadder/core/gateway/gateway_node.js';
+import {startHttpServer} from '@wisterialadder/runtime/http/http_server.js';
+import {startOpsServer} from '@wisterialadder/runtime/http/ops_server.js';
+import type {Readiness} from '@wisterialadder/runtime/http/readiness.js';
+import {logError} from '@wisterialadder/runtime/logging/log_error.js';
+import {createEventSource} from '@wisterialadder/runtime/loop/event_source.js';
+import {runLoop} from '@wisterialadder/runtime/loop/run_loop.js';
+import {createSeededRandom} from '@wisterialadder/runtime/loop/seeded_random.js';
+import {createMetrics} from '@wisterialadder/runtime/metrics/create_metrics.js';
+import type {
+  Program,
+  ProgramRun,
+} from '@wisterialadder/runtime/program/program.js';
+import type {SettingsOf} from '@wisterialadder/runtime/settings/settings_definition.js';
+import {performAction, type ActionHandlers} from './action_handlers.js';
+import {createAnswerWriter} from './callers/answer_writer.js';
+import {startCallerServer} from './callers/caller_server.js';
+import type {OpenRequests} from './callers/open_requests.js';
+import {createAttemptRunner} from './endpoints/attempt_runner.js';
+import {gatewayConfigOf} from './gateway_config_of.js';
+import type {GatewayPorts} from './gateway_ports.js';
+import {openPeerLink} from './peers/peer_link.js';
+import {probeRoutes} from './probe_routes.js';
+import {GATEWAY_SETTINGS} from './settings.js';
+import {createStoreAdapter} from './store/store_adapter.js';
+
+type GatewaySettings = typeof GATEWAY_SETTINGS;
+
+/** Creates `wl-gateway` for a platform. */
+export function createGatewayProgram(
+  ports: (cfg: SettingsOf<GatewaySettings>) => GatewayPorts,
+): Program<GatewaySettings> {
+  return {
+    name: 'wl-gateway',
+    help: 'Forwards requests of callers to model engines and plain services.',
+    settings: GATEWAY_SETTINGS,
+    start: run => startGateway(run, ports(run.cfg)),
+  };
+}
+
+async function startGateway(
+  run: ProgramRun<GatewaySettings>,
+  ports: GatewayPorts,
+): Promise<Record<string, string>> {
+  const {cfg, logger, store} = run;
+  const onError = logError(logger);
+  const source = createEventSource<GatewayEvent>();
+  const push = (event: GatewayEvent): boolean => source.push(event);
+  const metrics = createMetrics();
+  const readiness: Readiness = {ready: false, reason: 'starting'};
+  const open: OpenRequests = new Map();
+  const incarnation = Date.now();
+
+  const peers = store.add(
+    await openPeerLink({
+      address: cfg.peers.listen,
+      secret: cfg.peers.secret,
+      incarnation,
+      received: (from, fromIncarnation, message) =>
+        push({
+          kind: 'peer_received',
+          from,
+          incarnation: fromIncarnation,
+          message,
+        }),
+      onError,
+    }),
+  );
+  store.add(ports.store);
+  store.add(ports.memory);
+  const storeAdapter = createStoreAdapter(ports.store, push);
+  const attempts = store.add(
+    createAttemptRunner({open, codec: ports.endpoints, push}),
+  );
+  const callers = store.add(
+    await startCallerServer({
+      address: cfg.caller.listen,
+      codec: ports.callers,
+      open,
+      push,
+      onError,
+    }),
+  );
+  const answers = createAnswerWriter({
+    open,
+    codec: ports.callers,
+    closing: callers.closing,
+    push,
+  });
+  store.add(
+    await startHttpServer(
+      cfg.caller.probe,
+      probeRoutes(ports.readinessPath, readiness),
+      onError,
+    ),
+  );
+  const ops = store.add(
+    await startOpsServer(cfg.ops.listen, metrics, readiness, onError),
+  );
+
+  const handlers: ActionHandlers = {
+    announce_member: storeAdapter.announce,
+    apply_limits: ({limits}) => callers.applyLimits(limits),
+    begin_stream: answers.beginStream,
+    break_stream: answers.breakStream,
+    cancel_attempt: attempts.cancel,
+    close_callers: ({idleToo}) => callers.closeCallers(idleToo),
+    deliver_answer: answers.deliverAnswer,
+    deliver_piece: answers.deliverPiece,
+    end_stream: answers.endStream,
+    exit: ({code}) => run.exit(code),
+    keep_endpoints: ({endpoints}) => attempts.keepEndpoints(endpoints),
+    observe: ({metric, labels, value}) =>
+      metrics.observe(metric, labels, value),
+    order_memory: action => {
+      const {ticket, endpoint} = action;
+      void ports.memory.order(action).then(answer => {
+        push({kind: 'memory_settled', ticket, endpoint, answer});
+      });
+    },
+    read_store: storeAdapter.read,
+    refuse: answers.refuse,
+    send_peers: peers.send,
+    set_ready: ({ready, reason}) => {
+      readiness.ready = ready;
+      readiness.reason = reason;
+    },
+    start_attempt: attempts.start,
+    write_log: ({event, fields}) => logger.write(event, fields),
+  };
+
+  run.onSignal(() => push({kind: 'stop_requested'}));
+  const loop = runLoop<GatewayEvent, GatewayAction>({
+    node: createGatewayNode(gatewayConfigOf(cfg, peers.address, incarnation)),
+    sources: [source.stream],
+    tick: {kind: 'tick'},
+    random: createSeededRandom(incarnation),
+    perform: action => performAction(handlers, action),
+    onError,
+    stop: never(),
+  });
+  loop.catch(onError);
+  return {
+    caller: callers.address,
+    ops: ops.address,
+    peers: peers.address,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/peers/datagram_message.ts
@@ -0,0 +1,6 @@
+import type {Beat} from '@wisterialadder/core/fleet/messages/beat.js';
+import type {StoreNews} from '@wisterialadder/core/fleet/messages/store_news.js';
+import type {WorkUpdate} from '@wisterialadder/core/fleet/messages/work_update.js';
+
+/** Messages that are small, frequent and may be lost. */
+export type DatagramMessage = Beat | StoreNews | WorkUpdate;
--- /dev/null
+++ b/packages/gateway/src/peers/datagram_socket.ts
@@ -0,0 +1,40 @@
+import {createSocket} from 'node:dgram';
+import {splitAddress} from '@wisterialadder/runtime/http/http_server.js';
+import type {Disposable} from '@wisterialadder/runtime/lifecycle/disposable.js';
+
+/** Sends and receives datagrams. */
+export interface DatagramSocket extends Disposable {
+  /** Address it listens on, `IP:PORT`. */
+  readonly address: string;
+  /** Sends without waiting; the datagram may be lost. */
+  send(to: string, bytes: Uint8Array): void;
+}
+
+/** Binds a UDP socket; rejects if the address cannot be bound. */
+export async function openDatagramSocket(
+  address: string,
+  received: (from: string, bytes: Uint8Array) => void,
+  onError: (err: unknown) => void,
+): Promise<DatagramSocket> {
+  const socket = createSocket('udp4');
+  const {host, port} = splitAddress(address);
+  await new Promise<void>((resolve, reject) => {
+    socket.once('error', reject);
+    socket.bind(port, host, resolve);
+  });
+  socket.removeAllListeners('error');
+  socket.on('error', onError);
+  socket.on('message', (bytes, remote) =>
+    received(`${remote.address}:${remote.port}`, bytes),
+  );
+
+  return {
+    address: `${host}:${socket.address().port}`,
+    send: (to, bytes) => {
+      const target = splitAddress(to);
+      // A datagram that cannot be sent is lost like any other.
+      socket.send(bytes, target.port, target.host, () => undefined);
+    },
+    dispose: () => new Promise(resolve => socket.close(() => resolve())),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/settings.ts
@@ -0,0 +1,58 @@
+import {
+  OPS_SECTION,
+  VM_SECTION,
+} from '@wisterialadder/runtime/settings/common_sections.js';
+import {
+  address,
+  decimal,
+  integer,
+  list,
+  text,
+} from '@wisterialadder/runtime/settings/setting_kinds.js';
+
+/** Settings of `wl-gateway`. */
+export const GATEWAY_SETTINGS = {
+  vm: VM_SECTION,
+  caller: {
+    listen: address({help: 'Address for callers.'}),
+    probe: address({help: 'Address for the readiness probe.'}),
+  },
+  ops: OPS_SECTION,
+  peers: {
+    listen: address({
+      help: 'Address for other gateways; the port is the same on every VM.',
+    }),
+    secret: text({help: 'Known to all gateways of a fleet and to no other.'}),
+    seeds: list({
+      help: 'Addresses of other VMs to contact first; ports are ignored.',
+      fallback: '',
+    }),
+  },
+  store: {
+    address: address({help: 'Address of the store.'}),
+  },
+  shutdown: {
+    grace: decimal(1, 600, {
+      help: 'Time between SIGTERM and the end of the process.',
+      unit: 's',
+    }),
+    notice: integer(0, 600_000, {
+      help: 'Part of the grace period in which requests are still taken.',
+      unit: 'ms',
+      fallback: '3000',
+    }),
+  },
+  retries: {
+    ratio: decimal(0, 10, {
+      help: 'Repeats that a service may get for each request.',
+    }),
+    extra: integer(0, 1_000_000, {
+      help: 'Repeats beyond that in a window, over all gateways.',
+      unit: 'repeats',
+    }),
+    window: decimal(0.1, 600, {
+      help: 'Length of the window in which repeats are counted.',
+      unit: 's',
+    }),
+  },
+};
--- /dev/null
+++ b/packages/gateway/src/store/store_adapter.ts
@@ -0,0 +1,49 @@
+import type {AnnounceMember} from '@wisterialadder/core/gateway/actions/announce_member.js';
+import type {ReadStore} from '@wisterialadder/core/gateway/actions/read_store.js';
+import type {GatewayEvent} from '@wisterialadder/core/gateway/events/gateway_event.js';
+import type {StoreCall} from '@wisterialadder/core/store_watch/store_call.js';
+import type {StoreFailure} from '@wisterialadder/core/store_watch/store_failure.js';
+import type {Result} from '@wisterialadder/core/shared/result.js';
+import type {StoreClient} from './store_client.js';
+
+/** Carries out what the core asks of the store. */
+export interface StoreAdapter {
+  read(action: ReadStore): void;
+  announce(action: AnnounceMember): void;
+}
+
+/** Creates the adapter of a client. */
+export function createStoreAdapter(
+  client: StoreClient,
+  push: (event: GatewayEvent) => boolean,
+): StoreAdapter {
+  async function settle(
+    call: StoreCall,
+    result: Promise<Result<GatewayEvent, StoreFailure>>,
+  ): Promise<void> {
+    const settled = await result;
+    if (settled.ok) push(settled.val);
+    else push({kind: 'store_failed', call, failure: settled.val});
+  }
+
+  function read({call, fromOffset}: ReadStore): void {
+    switch (call) {
+      case 'configuration':
+        return void settle(call, client.readConfiguration(fromOffset));
+      case 'registry':
+        return void settle(call, client.readRegistry(fromOffset));
+      case 'members':
+        return void settle(call, client.readMembers());
+      case 'announce':
+        return;
+    }
+  }
+
+  async function announce({record}: AnnounceMember): Promise<void> {
+    const result = await client.announce(record);
+    if (result.ok) push({kind: 'member_announced'});
+    else push({kind: 'store_failed', call: 'announce', failure: result.val});
+  }
+
+  return {read, announce: action => void announce(action)};
+}
--- /dev/null
+++ b/packages/gateway/src/store/store_client.ts
@@ -0,0 +1,26 @@
+import type {MemberRecord} from '@wisterialadder/core/fleet/member_record.js';
+import type {ConfigurationRead} from '@wisterialadder/core/gateway/events/configuration_read.js';
+import type {MembersRead} from '@wisterialadder/core/gateway/events/members_read.js';
+import type {RegistryRead} from '@wisterialadder/core/gateway/events/registry_read.js';
+import type {StoreFailure} from '@wisterialadder/core/store_watch/store_failure.js';
+import type {Result} from '@wisterialadder/core/shared/result.js';
+
+/** Calls of the store that keeps what must last. */
+export abstract class StoreClient {
+  /** Reads from an offset on, or everything that is kept. */
+  abstract readConfiguration(
+    fromOffset: number | undefined,
+  ): Promise<Result<ConfigurationRead, StoreFailure>>;
+
+  /** Reads from an offset on, or everything that is kept. */
+  abstract readRegistry(
+    fromOffset: number | undefined,
+  ): Promise<Result<RegistryRead, StoreFailure>>;
+
+  abstract readMembers(): Promise<Result<MembersRead, StoreFailure>>;
+
+  abstract announce(record: MemberRecord): Promise<Result<void, StoreFailure>>;
+
+  /** Closes all connections. */
+  abstract dispose(): void | Promise<void>;
+}
