--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -39,6 +39,7 @@
 
 const files = readdirSync('packages')
   .map(name => join('packages', name, 'dist'))
+  .concat(join('platform', 'dist'))
   .concat('scripts')
   .filter(dir => existsSync(dir))
   .flatMap(testFiles)
