Set memory aside on several engines for prompts over one engine

The request's own wait was left out of the choice of its main engine, so that engines with all slots taken got more (14% of short streams late at the first piece).

--- a/packages/core/src/engine_model/estimate_load.ts
+++ b/packages/core/src/engine_model/estimate_load.ts
@@ -23,15 +23,18 @@
   let contextTokens = 0;
   let heldTokens = 0;
   for (const work of works) {
-    const {promptTokens, writing, helpers, main} = work;
+    const {promptTokens, writing, helpers, main, shared} = work;
+    const partTokens = promptTokens / (helpers.length + 1);
+    const answers = main === endpoint;
     if (!writing) reading.push(work);
-    if (main !== endpoint) {
+    if (writing && (answers || shared)) contextTokens += partTokens;
+    if (shared) heldTokens += partTokens;
+    if (!answers) {
       if (!writing) helps += 1;
       continue;
     }
     requests += 1;
-    heldTokens += promptTokens + work.outputTokens;
-    if (writing) contextTokens += promptTokens / (helpers.length + 1);
+    heldTokens += work.outputTokens + (shared ? 0 : promptTokens);
     streams.push({
       gapMs: work.gapMs,
       value: requestValue(promptTokens),
--- a/packages/core/src/fleet/messages/work_notice.ts
+++ b/packages/core/src/fleet/messages/work_notice.ts
@@ -6,6 +6,8 @@
   main: string;
   /** Ids of engines that read parts of the prompt. */
   helpers: string[];
+  /** Whether each helper stores its part of the prompt. */
+  shared: boolean;
   promptTokens: number;
   /** Expected tokens of the answer. */
   outputTokens: number;
--- a/packages/core/src/fleet/work.ts
+++ b/packages/core/src/fleet/work.ts
@@ -6,6 +6,8 @@
   work: number;
   main: string;
   helpers: string[];
+  /** Whether each helper stores its part of the prompt. */
+  shared: boolean;
   promptTokens: number;
   outputTokens: number;
   /** Steady clock; the first piece is due then. */
--- a/packages/core/src/fleet/work_notices.ts
+++ b/packages/core/src/fleet/work_notices.ts
@@ -3,11 +3,12 @@
 
 /** Describes work to other gateways, whose clocks differ. */
 export function noticeOf(work: Work, nowMs: number): WorkNotice {
-  const {main, helpers, promptTokens, outputTokens, gapMs, writing} = work;
+  const {main, helpers, shared, promptTokens, outputTokens, gapMs, writing} = work;
   return {
     work: work.work,
     main,
     helpers,
+    shared,
     promptTokens,
     outputTokens,
     gapMs,
@@ -23,12 +24,13 @@
   member: string,
   nowMs: number,
 ): Work {
-  const {main, helpers, promptTokens, outputTokens, gapMs, writing} = notice;
+  const {main, helpers, shared, promptTokens, outputTokens, gapMs, writing} = notice;
   return {
     member,
     work: notice.work,
     main,
     helpers,
+    shared,
     promptTokens,
     outputTokens,
     gapMs,
--- a/packages/core/src/forwarding/admission.ts
+++ b/packages/core/src/forwarding/admission.ts
@@ -36,7 +36,11 @@
     attempts: 0,
     current: undefined,
     failedAt: new Set(),
+    refusedRounds: 0,
     lastPiece: arrived.resumeAfter,
+    pieceMs: undefined,
+    firstPieceMs: undefined,
+    longestGapMs: 0,
     begun: false,
   });
 }
--- a/packages/core/src/forwarding/forwarded_request.ts
+++ b/packages/core/src/forwarding/forwarded_request.ts
@@ -23,8 +23,16 @@
   current: CurrentAttempt | undefined;
   /** Endpoints that failed this request. */
   failedAt: Set<string>;
+  /** Times that engines would not set memory aside for it. */
+  refusedRounds: number;
   /** Last piece that the caller was sent. */
   lastPiece: number;
+  /** Steady clock; when the newest piece was passed on. */
+  pieceMs: number | undefined;
+  /** Time from arrival to the first piece; undefined before it. */
+  firstPieceMs: number | undefined;
+  /** Longest pause between two pieces so far. */
+  longestGapMs: number;
   /** Whether the caller was sent the head of a stream. */
   begun: boolean;
 }
--- a/packages/core/src/forwarding/forwarding.ts
+++ b/packages/core/src/forwarding/forwarding.ts
@@ -13,6 +13,7 @@
 import type {EndpointSelection} from '../spread/endpoint_selection.js';
 import type {EndpointChoice} from '../spread/endpoint_choice.js';
 import type {AttemptFailure} from '../types/attempt_failure.js';
+import {notePace} from './note_pace.js';
 import {admitRequest} from './admission.js';
 import {choiceRequestOf} from './choice_request_of.js';
 import type {CurrentAttempt} from './current_attempt.js';
@@ -23,10 +24,14 @@
 import {retryDenial} from './retry_denial.js';
 import {silenceLimitMs} from './silence_limit.js';
 import {startAttemptOf} from './start_attempt_of.js';
+import type {TicketSet} from '../tickets/ticket_set.js';
+import {createTickets} from '../tickets/tickets.js';
 
 /** When a caller whose request found no endpoint may come back. */
 const RETRY_AFTER_MS = 250;
 const SERVER_ERROR_STATUS = 500;
+/** Sets of engines that are asked to set memory aside for one request. */
+const MAX_MEMORY_ROUNDS = 4;
 
 /** Requests from their arrival to their final answer. */
 export interface Forwarding extends GatewayFeature {
@@ -43,10 +48,13 @@
   members: FleetMembers;
   gossip: FleetGossip;
   allowance: RetryAllowance;
+  /** Id of an endpoint by its id or address; undefined if unknown. */
+  endpointNamed(name: string): string | undefined;
   /** Why no request is taken now; undefined if requests are taken. */
   closed(): Refusal | undefined;
   /** Peer address of this gateway. */
   self: string;
+  incarnation: number;
 }
 
 /** Creates a forwarding without requests. */
@@ -54,6 +62,12 @@
   const {configuration, selection, health, members, gossip, allowance} = parts;
   const requests = new Map<string, ForwardedRequest>();
   let works = 0;
+  const tickets = createTickets({
+    self: parts.self,
+    incarnation: parts.incarnation,
+    ready: memoryReady,
+    refused: memoryRefused,
+  });
 
   function arrived(ctx: GatewayContext, event: RequestArrived): void {
     const closed = parts.closed();
@@ -73,13 +87,34 @@
     const {service, failedAt} = req;
     const choice = selection.select(nowMs, service, wanted, failedAt, random);
     if (!choice) return giveUp(ctx, req, 'overloaded');
-    start(ctx, req, choice);
+    if (choice.helperTokens > 0) tickets.begin(ctx, req.reqId, choice);
+    else start(ctx, req, choice, '');
+  }
+
+  function memoryReady(ctx: GatewayContext, reqId: string, set: TicketSet): void {
+    const req = requests.get(reqId);
+    if (req) start(ctx, req, set.choice, set.ticket);
+    else tickets.release(ctx, reqId);
+  }
+
+  function memoryRefused(
+    ctx: GatewayContext,
+    reqId: string,
+    engine: string,
+  ): void {
+    const req = requests.get(reqId);
+    if (!req) return;
+    req.failedAt.add(engine);
+    req.refusedRounds += 1;
+    if (req.refusedRounds >= MAX_MEMORY_ROUNDS) giveUp(ctx, req, 'overloaded');
+    else dispatch(ctx, req);
   }
 
   function start(
     ctx: GatewayContext,
     req: ForwardedRequest,
     choice: EndpointChoice,
+    ticket: string,
   ): void {
     const {nowMs} = ctx;
     works += 1;
@@ -102,6 +137,7 @@
       work: works,
       main: choice.main.id,
       helpers: choice.helpers.map(({id}) => id),
+      shared: choice.helperTokens > 0,
       promptTokens,
       outputTokens,
       dueMs: nowMs + dueInMs,
@@ -109,7 +145,7 @@
       startedMs: nowMs,
       writing: false,
     });
-    ctx.emit(startAttemptOf(req, choice, maxConnections(nowMs, req), nowMs));
+    ctx.emit(startAttemptOf(req, choice, ticket, maxConnections(nowMs, req), nowMs));
     ctx.emit({
       kind: 'write_log',
       event: 'WL8301',
@@ -160,6 +196,7 @@
     if (current.pieces === 0) firstPiece(ctx, current);
     current.pieces += 1;
     req.lastPiece = event.piece;
+    notePace(req, ctx.nowMs);
     begin(ctx, req, event.attempt);
     ctx.emit({kind: 'deliver_piece', reqId: req.reqId, payload: event.payload});
   }
@@ -204,6 +241,8 @@
     const {req, current} = found;
     if (event.status >= SERVER_ERROR_STATUS && mayRepeat(ctx, req)) {
       gossip.ended(current.work);
+      tickets.release(ctx, req.reqId);
+      req.current = undefined;
       req.failedAt.add(current.choice.main.id);
       return dispatch(ctx, req);
     }
@@ -219,6 +258,11 @@
     const found = currentOf(event.reqId, event.attempt);
     if (!found) return;
     const {req, current} = found;
+    const other = parts.endpointNamed(event.atFault);
+    if (other !== undefined && other !== current.choice.main.id) {
+      req.failedAt.add(other);
+      health.failed(ctx, other, 'named by another endpoint');
+    }
     attemptFailed(ctx, req, current, event.failure, event.detail);
   }
 
@@ -233,6 +277,7 @@
     req.history.failed(failure);
     req.failedAt.add(main.id);
     gossip.ended(current.work);
+    tickets.release(ctx, req.reqId);
     req.current = undefined;
     if (failure !== 'said_not_run') health.failed(ctx, main.id, failure);
     ctx.emit({
@@ -288,6 +333,7 @@
     detail: string,
   ): void {
     if (req.current) gossip.ended(req.current.work);
+    tickets.release(ctx, req.reqId);
     requests.delete(req.reqId);
     reportEnd(ctx, req, outcome, detail);
   }
@@ -348,8 +394,12 @@
       stream_ended: streamEnded,
       answer_received: answered,
       attempt_failed: failed,
+      ...tickets.handlers,
+    },
+    expire: ctx => {
+      expire(ctx);
+      tickets.expire?.(ctx);
     },
-    expire,
     inFlight: () => requests.size,
     cutAll,
   };
--- a/packages/core/src/forwarding/report_end.ts
+++ b/packages/core/src/forwarding/report_end.ts
@@ -32,6 +32,8 @@
       detail,
       attempts: req.attempts,
       pieces: req.lastPiece,
+      firstPieceMs: Math.round(req.firstPieceMs ?? -1),
+      longestGapMs: Math.round(req.longestGapMs),
       afterMs: Math.round(ctx.nowMs - req.arrivedMs),
     },
   });
--- a/packages/core/src/forwarding/start_attempt_of.ts
+++ b/packages/core/src/forwarding/start_attempt_of.ts
@@ -4,10 +4,14 @@
 
 const LEAST_URGENT = 9;
 
-/** The action that sends a request to the chosen endpoint. */
+/**
+ * The action that sends a request to the chosen endpoint.
+ * @param ticket memory that the helpers have set aside; empty for none
+ */
 export function startAttemptOf(
   req: ForwardedRequest,
   choice: EndpointChoice,
+  ticket: string,
   maxConnections: number,
   nowMs: number,
 ): StartAttempt {
@@ -25,7 +29,7 @@
     remainingMs: Math.max(1, Math.floor(req.deadlineMs - nowMs)),
     notAfterMs: req.deadlineMs,
     priority: Math.min(LEAST_URGENT, priority),
-    helpers: choice.helpers.map(({address}) => ({address, ticket: ''})),
+    helpers: choice.helpers.map(({address}) => ({address, ticket})),
     resumeAfter: req.lastPiece,
     // A kept connection may break just then, and nobody could tell whether
     // the request ran.
--- a/packages/core/src/gateway/gateway_node.ts
+++ b/packages/core/src/gateway/gateway_node.ts
@@ -54,6 +54,7 @@
   });
   const forwarding = createForwarding({
     self: cfg.address,
+    incarnation: cfg.incarnation,
     configuration,
     selection: createEndpointSelection({
       failureDomain: cfg.failureDomain,
@@ -70,6 +71,9 @@
       extra: cfg.retryExtra,
       windowMs: cfg.retryWindowMs,
     }),
+    endpointNamed: name =>
+      registry.entries().find(({id, address}) => id === name || address === name)
+        ?.id,
     closed,
   });
   const drain = createDrain<GatewayContext>({
--- a/packages/core/src/shared/log_events.ts
+++ b/packages/core/src/shared/log_events.ts
@@ -196,6 +196,11 @@
     text: 'request not sent again',
     action: 'None; the denial says why.',
   },
+  WL8401: {
+    level: 'warn',
+    text: 'memory of an engine not set aside',
+    action: 'None unless it repeats; the request tries other engines.',
+  },
   WL9001: {
     level: 'info',
     text: 'process started',
--- a/packages/core/src/spread/endpoint_choice.ts
+++ b/packages/core/src/spread/endpoint_choice.ts
@@ -6,6 +6,8 @@
   main: EndpointEntry;
   /** Engines that read parts of the prompt. */
   helpers: EndpointEntry[];
+  /** Tokens of the prompt that each helper stores; 0 if the main one does. */
+  helperTokens: number;
   /** Expected time to the first piece, or to the answer, in milliseconds. */
   expectedMs: number;
   /** Expected loss of worth, see `requestValue`. */
--- a/packages/core/src/spread/least_loss.ts
+++ b/packages/core/src/spread/least_loss.ts
@@ -61,11 +61,25 @@
     req: ChoiceRequest,
     candidates: EndpointCandidate[],
     random: RandomSource,
+  ): EndpointChoice | undefined {
+    return (
+      this.chooseWidth(req, candidates, false, random) ??
+      this.chooseWidth(req, candidates, true, random)
+    );
+  }
+
+  /** @param shared whether each helper stores its part of the prompt */
+  private chooseWidth(
+    req: ChoiceRequest,
+    candidates: EndpointCandidate[],
+    shared: boolean,
+    random: RandomSource,
   ): EndpointChoice | undefined {
     let best: EndpointChoice | undefined;
     for (const width of WIDTHS) {
       if (width > candidates.length) break;
-      const choice = this.spread(req, candidates, width, random);
+      if (shared && width === 1) continue;
+      const choice = this.spread(req, candidates, width, shared, random);
       if (choice && (!best || choice.loss < best.loss)) best = choice;
       // Short prompts gain nothing from helpers.
       if (this.readMs(req, width) < this.profile.chunkTokens / 200) break;
@@ -81,20 +95,31 @@
     req: ChoiceRequest,
     candidates: EndpointCandidate[],
     width: number,
+    shared: boolean,
     random: RandomSource,
   ): EndpointChoice | undefined {
     const readMs = this.readMs(req, width);
+    const helperTokens = shared ? Math.ceil(req.promptTokens / width) : 0;
+    const mainTokens =
+      req.outputTokens + (shared ? helperTokens : req.promptTokens);
     const parts = candidates.flatMap(({entry, load}) =>
       load ? [this.price(entry, load, readMs, width > 1)] : [],
     );
     const mains = parts
-      .filter(part => this.hasRoom(req, part.load))
-      .map(part => ({part, loss: part.harm + this.mainLoss(req, part)}))
+      .filter(part => this.hasRoom(part.load, mainTokens))
+      .map(part => ({
+        part,
+        loss:
+          part.harm +
+          this.mainLoss(req, part) +
+          this.ownLoss(req, part.readyMs + part.load.passMs),
+      }))
       .sort((a, b) => a.loss - b.loss || random() - 0.5);
     const main = mains[0];
     if (!main) return undefined;
     const helpers = parts
       .filter(part => part !== main.part && part.load.helps < this.slots())
+      .filter(part => this.hasRoom(part.load, helperTokens))
       .sort((a, b) => a.harm - b.harm || a.readyMs - b.readyMs)
       .slice(0, width - 1);
     if (helpers.length < width - 1) return undefined;
@@ -103,15 +128,15 @@
       ...helpers.map(part => part.readyMs),
     );
     const expectedMs = readyMs + main.part.load.passMs + NETWORK_MS;
-    const value = requestValue(req.promptTokens);
     const loss =
-      LATE_SHARE * value * lateness(expectedMs, req.dueInMs) +
-      (expectedMs / 1_000) * LOSS_PER_SECOND +
-      main.loss +
+      main.part.harm +
+      this.mainLoss(req, main.part) +
+      this.ownLoss(req, expectedMs) +
       helpers.reduce((sum, {harm}) => sum + harm + LOSS_PER_HELPER, 0);
     return {
       main: main.part.entry,
       helpers: helpers.map(({entry}) => entry),
+      helperTokens,
       expectedMs: Math.round(expectedMs),
       loss: Math.round(loss * 1_000) / 1_000,
       reason: `least loss on ${width} of ${candidates.length}`,
@@ -158,14 +183,22 @@
     );
   }
 
+  /** Loss of the request itself if its first piece comes at that time. */
+  private ownLoss(req: ChoiceRequest, expectedMs: number): number {
+    const value = requestValue(req.promptTokens);
+    return (
+      LATE_SHARE * value * lateness(expectedMs, req.dueInMs) +
+      (expectedMs / 1_000) * LOSS_PER_SECOND
+    );
+  }
+
   private pauseLoss(req: ChoiceRequest, load: EngineLoad): number {
     const ms = passMs(this.profile, load.streams.length + 1, 0);
     const value = requestValue(req.promptTokens);
     return LATE_SHARE * value * lateness(ms, req.gapMs);
   }
 
-  private hasRoom(req: ChoiceRequest, load: EngineLoad): boolean {
-    const tokens = req.promptTokens + req.outputTokens;
+  private hasRoom(load: EngineLoad, tokens: number): boolean {
     return load.heldTokens + tokens <= this.profile.memoryTokens;
   }
 
--- a/packages/core/src/spread/least_work.ts
+++ b/packages/core/src/spread/least_work.ts
@@ -28,7 +28,14 @@
     }
     if (!best) return undefined;
     const reason = `least work, ${best.inFlight} in flight`;
-    return {main: best.entry, helpers: [], expectedMs: 0, loss: 0, reason};
+    return {
+      main: best.entry,
+      helpers: [],
+      helperTokens: 0,
+      expectedMs: 0,
+      loss: 0,
+      reason,
+    };
   }
 
   private work({entry, inFlight}: EndpointCandidate): number {
--- a/packages/router/src/router_program.ts
+++ b/packages/router/src/router_program.ts
@@ -2,6 +2,7 @@
 import type {Deliver} from '@wisterialadder/core/router/actions/deliver.js';
 import type {RouterAction} from '@wisterialadder/core/router/actions/router_action.js';
 import type {RouterEvent} from '@wisterialadder/core/router/events/router_event.js';
+import type {PeerMessage} from '@wisterialadder/core/router/messages/peer_message.js';
 import type {Finish} from '@wisterialadder/core/router/actions/finish.js';
 import {createLoadWatcher} from '@wisterialadder/runtime/endpoints/load_watcher.js';
 import {startHttpServer} from '@wisterialadder/runtime/http/http_server.js';
@@ -57,7 +58,7 @@
   const incarnation = Date.now();
 
   const peers = store.add(
-    await startPeerTransport({
+    await startPeerTransport<PeerMessage>({
       address: cfg.peers.listen,
       secret: cfg.peers.secret,
       incarnation,
