Read parts of spread prompts first in the cost model; be patient with them

Ruled out: the cost of reading itself (long prompts alone come within 30 ms of the estimate), memory (no preemption, no refused order). Change: harm counts all work that an engine reads, once for work that several parts delay; the first piece may be late by a fifth of its target before it is tried elsewhere, longer where the engine reads; pace from pauses of streams.

--- a/packages/core/src/endpoint_health/endpoint_health.ts
+++ b/packages/core/src/endpoint_health/endpoint_health.ts
@@ -4,8 +4,8 @@
 const FIRST_PAUSE_MS = 400;
 const LONGEST_PAUSE_MS = 6_000;
 /** Weight of the newest observation of an endpoint's pace. */
-const PACE_WEIGHT = 0.2;
-const FASTEST_PACE = 0.8;
+const PACE_WEIGHT = 0.4;
+const FASTEST_PACE = 1;
 const SLOWEST_PACE = 8;
 
 /** How endpoints have answered lately. */
@@ -15,8 +15,8 @@
   succeeded(endpoint: string): void;
   /** Whether the endpoint gets no work for now. */
   aside(endpoint: string, nowMs: number): boolean;
-  /** Compares the time of a first piece with what the profile says. */
-  observed(endpoint: string, tookMs: number, expectedMs: number): void;
+  /** Compares the shortest pause of a stream with what the profile says. */
+  observed(endpoint: string, pauseMs: number, usualMs: number): void;
   /** How many times slower than its profile the endpoint is. */
   pace(endpoint: string): number;
   /** Forgets endpoints that are not in the set. */
@@ -54,13 +54,9 @@
     ctx.emit({kind: 'write_log', event: 'WL8201', fields});
   }
 
-  function observed(
-    endpoint: string,
-    tookMs: number,
-    expectedMs: number,
-  ): void {
-    if (expectedMs <= 0) return;
-    const ratio = tookMs / expectedMs;
+  function observed(endpoint: string, pauseMs: number, usualMs: number): void {
+    if (usualMs <= 0) return;
+    const ratio = pauseMs / usualMs;
     const bounded = Math.min(SLOWEST_PACE, Math.max(FASTEST_PACE, ratio));
     const standing = of(endpoint);
     standing.pace += (bounded - standing.pace) * PACE_WEIGHT;
--- /dev/null
+++ b/packages/core/src/engine_model/affected_work.ts
@@ -0,0 +1,13 @@
+import type {Work} from '../fleet/work.js';
+
+/** Work that is delayed by whatever else its engine reads. */
+export interface AffectedWork {
+  work: Work;
+  /** Worth of the request, see `requestValue`. */
+  value: number;
+  /**
+   * Time that its next piece may take: the longest pause of a stream that is
+   * written, the rest until the first piece is due for one that is read.
+   */
+  limitMs: number;
+}
--- a/packages/core/src/engine_model/engine_load.ts
+++ b/packages/core/src/engine_model/engine_load.ts
@@ -1,12 +1,4 @@
-/** A stream that an engine writes or will write. */
-export interface EngineStream {
-  /** Longest pause between two pieces. */
-  gapMs: number;
-  /** Worth of the request, see `requestValue`. */
-  value: number;
-  /** Time until the first piece is due; undefined once it has arrived. */
-  dueInMs: number | undefined;
-}
+import type {AffectedWork} from './affected_work.js';
 
 /** What an engine has to do, by the work that is known. Milliseconds. */
 export interface EngineLoad {
@@ -14,9 +6,14 @@
   requests: number;
   /** Prompts of other engines that it helps to read. */
   helps: number;
-  streams: EngineStream[];
+  /** Work that more reading would delay. */
+  affected: AffectedWork[];
   /** Reading that is not done yet. */
   backlogMs: number;
+  /** Streams that it writes. */
+  writers: number;
+  /** Whether one of its streams must not pause for long. */
+  strict: boolean;
   /** Duration of a pass without reading. */
   passMs: number;
   /** Tokens that the work holds or will hold. */
--- a/packages/core/src/engine_model/estimate_load.ts
+++ b/packages/core/src/engine_model/estimate_load.ts
@@ -1,10 +1,14 @@
 import type {EngineProfile} from '../configuration/engine_profile.js';
 import type {Work} from '../fleet/work.js';
-import type {EngineLoad, EngineStream} from './engine_load.js';
+import type {AffectedWork} from './affected_work.js';
+import type {EngineLoad} from './engine_load.js';
 import {passMs} from './pass_cost.js';
 import {partReadMs} from './read_cost.js';
 import {requestValue} from './request_value.js';
 
+/** Streams with a shorter pause keep long prompts away from their engine. */
+export const STRICT_GAP_MS = 400;
+
 /**
  * Estimates what an engine has to do.
  * @param pace how many times slower than its profile the engine is
@@ -16,43 +20,50 @@
   pace: number,
   nowMs: number,
 ): EngineLoad {
-  const streams: EngineStream[] = [];
+  const affected: AffectedWork[] = [];
   const reading: Work[] = [];
   let requests = 0;
   let helps = 0;
+  let writers = 0;
+  let strict = false;
   let contextTokens = 0;
   let heldTokens = 0;
   for (const work of works) {
-    const {promptTokens, writing, helpers, main, shared} = work;
+    const {promptTokens, writing, helpers, main, shared, gapMs} = work;
     const partTokens = promptTokens / (helpers.length + 1);
     const answers = main === endpoint;
-    if (!writing) reading.push(work);
-    if (writing && (answers || shared)) contextTokens += partTokens;
+    const value = requestValue(promptTokens);
     if (shared) heldTokens += partTokens;
+    if (writing && (answers || shared)) contextTokens += partTokens;
+    if (!writing) {
+      reading.push(work);
+      affected.push({work, value, limitMs: work.dueMs - nowMs});
+    }
     if (!answers) {
       if (!writing) helps += 1;
       continue;
     }
     requests += 1;
     heldTokens += work.outputTokens + (shared ? 0 : promptTokens);
-    streams.push({
-      gapMs: work.gapMs,
-      value: requestValue(promptTokens),
-      dueInMs: writing ? undefined : work.dueMs - nowMs,
-    });
+    if (gapMs <= STRICT_GAP_MS) strict = true;
+    if (writing) {
+      writers += 1;
+      affected.push({work, value, limitMs: gapMs});
+    }
   }
-  const writers = streams.filter(({dueInMs}) => dueInMs === undefined).length;
   return {
     requests,
     helps,
-    streams,
+    affected,
     backlogMs: backlogMs(profile, reading, pace, nowMs),
+    writers,
+    strict,
     passMs: passMs(profile, writers, contextTokens) * pace,
     heldTokens,
   };
 }
 
-/** Time until all prompts are read, one after the other. */
+/** Time until all prompts are read. */
 function backlogMs(
   profile: EngineProfile,
   reading: Work[],
--- a/packages/core/src/fleet/work_notices.ts
+++ b/packages/core/src/fleet/work_notices.ts
@@ -3,7 +3,8 @@
 
 /** Describes work to other gateways, whose clocks differ. */
 export function noticeOf(work: Work, nowMs: number): WorkNotice {
-  const {main, helpers, shared, promptTokens, outputTokens, gapMs, writing} = work;
+  const {main, helpers, shared, promptTokens, outputTokens, gapMs, writing} =
+    work;
   return {
     work: work.work,
     main,
@@ -24,7 +25,8 @@
   member: string,
   nowMs: number,
 ): Work {
-  const {main, helpers, shared, promptTokens, outputTokens, gapMs, writing} = notice;
+  const {main, helpers, shared, promptTokens, outputTokens, gapMs, writing} =
+    notice;
   return {
     member,
     work: notice.work,
--- a/packages/core/src/forwarding/current_attempt.ts
+++ b/packages/core/src/forwarding/current_attempt.ts
@@ -10,6 +10,8 @@
   startedMs: number;
   /** Steady clock; of the last sign of progress. */
   progressMs: number;
+  /** Shortest pause between two pieces of this attempt. */
+  shortestGapMs: number;
   /** Pieces that this attempt has delivered. */
   pieces: number;
 }
--- a/packages/core/src/forwarding/forwarding.ts
+++ b/packages/core/src/forwarding/forwarding.ts
@@ -30,6 +30,8 @@
 /** When a caller whose request found no endpoint may come back. */
 const RETRY_AFTER_MS = 250;
 const SERVER_ERROR_STATUS = 500;
+/** Pieces of a stream from which the pace of an engine is taken. */
+const PIECES_PER_PACE = 6;
 /** Sets of engines that are asked to set memory aside for one request. */
 const MAX_MEMORY_ROUNDS = 4;
 
@@ -91,7 +93,11 @@
     else start(ctx, req, choice, '');
   }
 
-  function memoryReady(ctx: GatewayContext, reqId: string, set: TicketSet): void {
+  function memoryReady(
+    ctx: GatewayContext,
+    reqId: string,
+    set: TicketSet,
+  ): void {
     const req = requests.get(reqId);
     if (req) start(ctx, req, set.choice, set.ticket);
     else tickets.release(ctx, reqId);
@@ -126,6 +132,7 @@
       work: works,
       startedMs: nowMs,
       progressMs: nowMs,
+      shortestGapMs: Number.POSITIVE_INFINITY,
       pieces: 0,
     };
     const {promptTokens, outputTokens, dueInMs, gapMs} = choiceRequestOf(
@@ -145,7 +152,9 @@
       startedMs: nowMs,
       writing: false,
     });
-    ctx.emit(startAttemptOf(req, choice, ticket, maxConnections(nowMs, req), nowMs));
+    ctx.emit(
+      startAttemptOf(req, choice, ticket, maxConnections(nowMs, req), nowMs),
+    );
     ctx.emit({
       kind: 'write_log',
       event: 'WL8301',
@@ -155,6 +164,7 @@
         attempt: req.attempts,
         endpoint: choice.main.id,
         helpers: choice.helpers.length,
+        helperIds: choice.helpers.map(({id}) => id).join(' '),
         promptTokens,
         dueInMs: Math.round(dueInMs),
         expectedMs: choice.expectedMs,
@@ -183,6 +193,7 @@
     const found = currentOf(event.reqId, event.attempt);
     if (!found) return;
     const {req, current} = found;
+    const {progressMs} = current;
     current.progressMs = ctx.nowMs;
     if (event.piece <= req.lastPiece) return;
     if (event.piece !== req.lastPiece + 1) {
@@ -193,7 +204,8 @@
       });
       return attemptFailed(ctx, req, current, 'broken', 'piece missing');
     }
-    if (current.pieces === 0) firstPiece(ctx, current);
+    if (current.pieces === 0) firstPiece(current);
+    else notePause(current, ctx.nowMs - progressMs);
     current.pieces += 1;
     req.lastPiece = event.piece;
     notePace(req, ctx.nowMs);
@@ -201,11 +213,18 @@
     ctx.emit({kind: 'deliver_piece', reqId: req.reqId, payload: event.payload});
   }
 
-  function firstPiece(ctx: GatewayContext, current: CurrentAttempt): void {
-    const {main, expectedMs} = current.choice;
+  function firstPiece(current: CurrentAttempt): void {
     gossip.writing(current.work);
-    health.succeeded(main.id);
-    health.observed(main.id, ctx.nowMs - current.startedMs, expectedMs);
+    health.succeeded(current.choice.main.id);
+  }
+
+  /** A sound engine has at least one pass without reading before long. */
+  function notePause(current: CurrentAttempt, pauseMs: number): void {
+    current.shortestGapMs = Math.min(current.shortestGapMs, pauseMs);
+    if (current.pieces % PIECES_PER_PACE !== 0) return;
+    const {main, usualGapMs} = current.choice;
+    health.observed(main.id, current.shortestGapMs, usualGapMs);
+    current.shortestGapMs = Number.POSITIVE_INFINITY;
   }
 
   function begin(
@@ -368,7 +387,11 @@
     const {current} = req;
     const limitMs = silenceLimitMs(req);
     if (!current || limitMs === undefined) return;
-    if (ctx.nowMs - current.progressMs < limitMs) return;
+    const silentMs = ctx.nowMs - current.progressMs;
+    if (silentMs < limitMs) return;
+    // An engine that reads long prompts is silent for good reason.
+    const readingMs = selection.readingMs(req.service, current.choice.main.id);
+    if (silentMs < limitMs + readingMs) return;
     // Nothing is gained by ending an attempt that cannot be replaced.
     if (retryDenial(req, ctx.nowMs)) return;
     current.progressMs = ctx.nowMs;
--- a/packages/core/src/forwarding/silence_limit.ts
+++ b/packages/core/src/forwarding/silence_limit.ts
@@ -4,6 +4,11 @@
 const EXPECTED_TIMES = 2.5;
 /** A shorter silence says nothing about an endpoint. */
 const LEAST_SILENCE_MS = 700;
+/**
+ * Share of the target by which the first piece may come later: a prompt that
+ * is read anew elsewhere is late as well, and its work is done twice.
+ */
+const TARGET_TIMES = 1.2;
 /** Pauses of a stream may be this many times the longest that is in time. */
 const GAP_TIMES = 2.5;
 /** Part of a request's time after which a call is repeated elsewhere. */
@@ -26,7 +31,10 @@
       return Math.max(
         LEAST_SILENCE_MS,
         current.pieces === 0
-          ? current.choice.expectedMs * EXPECTED_TIMES
+          ? Math.max(
+              current.choice.expectedMs * EXPECTED_TIMES,
+              route.targetLatencyMs * TARGET_TIMES,
+            )
           : route.targetGapMs * GAP_TIMES,
       );
   }
--- a/packages/core/src/gateway/gateway_node.ts
+++ b/packages/core/src/gateway/gateway_node.ts
@@ -72,8 +72,9 @@
       windowMs: cfg.retryWindowMs,
     }),
     endpointNamed: name =>
-      registry.entries().find(({id, address}) => id === name || address === name)
-        ?.id,
+      registry
+        .entries()
+        .find(({id, address}) => id === name || address === name)?.id,
     closed,
   });
   const drain = createDrain<GatewayContext>({
--- a/packages/core/src/spread/endpoint_choice.ts
+++ b/packages/core/src/spread/endpoint_choice.ts
@@ -10,6 +10,8 @@
   helperTokens: number;
   /** Expected time to the first piece, or to the answer, in milliseconds. */
   expectedMs: number;
+  /** Pause between two pieces of a sound engine; 0 for no stream. */
+  usualGapMs: number;
   /** Expected loss of worth, see `requestValue`. */
   loss: number;
   reason: string;
--- a/packages/core/src/spread/endpoint_selection.ts
+++ b/packages/core/src/spread/endpoint_selection.ts
@@ -2,6 +2,7 @@
 import type {ServiceSpec} from '../configuration/service_spec.js';
 import type {EndpointHealth} from '../endpoint_health/endpoint_health.js';
 import {estimateLoad} from '../engine_model/estimate_load.js';
+import {partReadMs} from '../engine_model/read_cost.js';
 import type {WorkBoard} from '../fleet/work_board.js';
 import type {EndpointEntry} from '../registry/endpoint_entry.js';
 import type {EndpointRegistry} from '../registry/endpoint_registry.js';
@@ -22,6 +23,11 @@
     avoid: ReadonlySet<string>,
     random: RandomSource,
   ): EndpointChoice | undefined;
+  /**
+   * Time that an engine needs for all prompts that it reads now, however much
+   * of them it has read.
+   */
+  readingMs(service: string, endpoint: string): number;
 }
 
 /** What the selection looks at. */
@@ -65,7 +71,19 @@
     return {entry, inFlight: works.length, load};
   }
 
+  function readingMs(service: string, endpoint: string): number {
+    const profile = configuration.service(service)?.engine;
+    if (!profile) return 0;
+    let sumMs = 0;
+    for (const {writing, promptTokens, helpers} of board.of(endpoint)) {
+      if (writing) continue;
+      sumMs += partReadMs(profile, promptTokens, helpers.length + 1);
+    }
+    return sumMs * health.pace(endpoint);
+  }
+
   return {
+    readingMs,
     select: (nowMs, service, req, avoid, random) => {
       const spec = configuration.service(service);
       const usable = registry.usable(service);
--- a/packages/core/src/spread/least_loss.ts
+++ b/packages/core/src/spread/least_loss.ts
@@ -1,15 +1,18 @@
 import type {EngineProfile} from '../configuration/engine_profile.js';
 import type {EngineLoad} from '../engine_model/engine_load.js';
+import {STRICT_GAP_MS} from '../engine_model/estimate_load.js';
 import {lateness} from '../engine_model/lateness.js';
 import {passMs} from '../engine_model/pass_cost.js';
 import {partReadMs} from '../engine_model/read_cost.js';
 import {requestValue} from '../engine_model/request_value.js';
+import type {Work} from '../fleet/work.js';
 import type {EndpointEntry} from '../registry/endpoint_entry.js';
 import type {RandomSource} from '../types/random_source.js';
 import type {ChoiceRequest} from './choice_request.js';
 import type {EndpointCandidate} from './endpoint_candidate.js';
 import type {EndpointChoice} from './endpoint_choice.js';
 import {EndpointChooser} from './endpoint_chooser.js';
+import type {PricedPart} from './priced_part.js';
 
 /** Engines that share the reading of a prompt. */
 const WIDTHS = [1, 2, 3, 4, 6, 8, 10, 12, 14, 16];
@@ -17,6 +20,8 @@
 const LATE_SHARE = 0.75;
 /** Worth of a second, to prefer what is faster among what is in time. */
 const LOSS_PER_SECOND = 0.1;
+/** Share of its worth that a prompt loses for each second of waiting. */
+const READ_DELAY_LOSS_PER_SECOND = 0.03;
 /** Worth of a byte that crosses failure domains. */
 const LOSS_PER_FAR_BYTE = 2e-6;
 /** Bytes of a stream for each token of its answer. */
@@ -26,8 +31,6 @@
  * read; a strict stream that goes there takes this away.
  */
 const FREE_ENGINE_VALUE = 0.08;
-/** Streams with a shorter pause keep long prompts away from their engine. */
-const STRICT_GAP_MS = 400;
 /** Wait for each request beyond the slots of an engine. */
 const SLOT_WAIT_MS = 300;
 /** Worth of the messages and waits that each helper adds. */
@@ -35,16 +38,6 @@
 /** Time on the network to an engine and back. */
 const NETWORK_MS = 8;
 
-/** An engine and what a part of a prompt would do there. */
-interface PricedPart {
-  entry: EndpointEntry;
-  load: EngineLoad;
-  /** Loss of other requests if the engine reads the part. */
-  harm: number;
-  /** Time until the part is read. */
-  readyMs: number;
-}
-
 /**
  * The engines on which a prompt costs the least worth: of itself by being
  * late, and of the streams whose pauses its reading stretches.
@@ -112,13 +105,15 @@
         loss:
           part.harm +
           this.mainLoss(req, part) +
-          this.ownLoss(req, part.readyMs + part.load.passMs),
+          this.ownLoss(req, part.readyMs + this.tailMs(part.load)),
       }))
       .sort((a, b) => a.loss - b.loss || random() - 0.5);
     const main = mains[0];
     if (!main) return undefined;
     const helpers = parts
-      .filter(part => part !== main.part && part.load.helps < this.slots())
+      .filter(
+        part => part !== main.part && part.load.helps < this.profile.slots,
+      )
       .filter(part => this.hasRoom(part.load, helperTokens))
       .sort((a, b) => a.harm - b.harm || a.readyMs - b.readyMs)
       .slice(0, width - 1);
@@ -127,17 +122,18 @@
       main.part.readyMs,
       ...helpers.map(part => part.readyMs),
     );
-    const expectedMs = readyMs + main.part.load.passMs + NETWORK_MS;
+    const expectedMs = readyMs + this.tailMs(main.part.load) + NETWORK_MS;
     const loss =
-      main.part.harm +
+      totalHarm([main.part, ...helpers]) +
       this.mainLoss(req, main.part) +
       this.ownLoss(req, expectedMs) +
-      helpers.reduce((sum, {harm}) => sum + harm + LOSS_PER_HELPER, 0);
+      helpers.length * LOSS_PER_HELPER;
     return {
       main: main.part.entry,
       helpers: helpers.map(({entry}) => entry),
       helperTokens,
       expectedMs: Math.round(expectedMs),
+      usualGapMs: passMs(this.profile, 1, req.promptTokens / width),
       loss: Math.round(loss * 1_000) / 1_000,
       reason: `least loss on ${width} of ${candidates.length}`,
     };
@@ -150,34 +146,38 @@
     helped: boolean,
   ): PricedPart {
     const queuedMs = load.backlogMs + load.passMs;
+    const harms = new Map<Work, number>();
     let harm = 0;
-    for (const {gapMs, value, dueInMs} of load.streams) {
-      // A stream whose first piece is not out yet waits for the whole pass.
-      const limitMs = dueInMs ?? gapMs;
+    for (const {work, value, limitMs} of load.affected) {
       const added =
         lateness(queuedMs + readMs, limitMs) - lateness(queuedMs, limitMs);
-      harm += LATE_SHARE * value * added;
+      const loss = value * (LATE_SHARE * added + delayLoss(work, readMs));
+      harms.set(work, loss);
+      harm += loss;
     }
-    const waitMs = helped ? load.backlogMs / 2 : load.backlogMs;
-    const busy = load.streams.length > 0;
-    const boundaryMs = busy ? load.passMs / 2 : 0;
-    const over = Math.max(0, load.requests + 1 - this.slots());
-    return {
-      entry,
-      load,
-      harm,
-      readyMs: waitMs + boundaryMs + readMs + over * SLOT_WAIT_MS,
-    };
+    const boundaryMs = load.writers > 0 ? load.passMs : 0;
+    // Parts of a spread prompt are read before everything else.
+    const waitMs = helped ? 0 : load.backlogMs;
+    const over = Math.max(0, load.requests + 1 - this.profile.slots);
+    const readyMs = waitMs + boundaryMs + readMs + over * SLOT_WAIT_MS;
+    return {entry, load, harms, harm, readyMs};
+  }
+
+  /** Time from the end of reading to the first piece. */
+  private tailMs(load: EngineLoad): number {
+    // The pass that is on when the last part is read ends first.
+    const busy = load.writers > 0;
+    const restMs = busy ? (load.passMs + load.backlogMs) / 2 : 0;
+    return restMs + load.passMs;
   }
 
   private mainLoss(req: ChoiceRequest, {entry, load}: PricedPart): number {
     const far = entry.failureDomain !== this.failureDomain;
     const bytes = req.bodyBytes + req.outputTokens * BYTES_PER_TOKEN;
     const strict = req.gapMs <= STRICT_GAP_MS;
-    const joins = load.streams.some(({gapMs}) => gapMs <= STRICT_GAP_MS);
     return (
       (far ? bytes * LOSS_PER_FAR_BYTE : 0) +
-      (strict && !joins ? FREE_ENGINE_VALUE : 0) +
+      (strict && !load.strict ? FREE_ENGINE_VALUE : 0) +
       // Reading that is queued stretches the pauses of a stream that joins.
       this.pauseLoss(req, load)
     );
@@ -193,7 +193,7 @@
   }
 
   private pauseLoss(req: ChoiceRequest, load: EngineLoad): number {
-    const ms = passMs(this.profile, load.streams.length + 1, 0);
+    const ms = passMs(this.profile, load.writers + 1, 0);
     const value = requestValue(req.promptTokens);
     return LATE_SHARE * value * lateness(ms, req.gapMs);
   }
@@ -201,8 +201,20 @@
   private hasRoom(load: EngineLoad, tokens: number): boolean {
     return load.heldTokens + tokens <= this.profile.memoryTokens;
   }
+}
 
-  private slots(): number {
-    return this.profile.slots;
+/** A prompt that is being read loses worth with each second of delay. */
+function delayLoss(work: Work, delayMs: number): number {
+  return work.writing ? 0 : (delayMs / 1_000) * READ_DELAY_LOSS_PER_SECOND;
+}
+
+/** Work that several parts delay is delayed once. */
+function totalHarm(parts: PricedPart[]): number {
+  const worst = new Map<Work, number>();
+  for (const {harms} of parts) {
+    for (const [work, loss] of harms) {
+      worst.set(work, Math.max(loss, worst.get(work) ?? 0));
+    }
   }
+  return [...worst.values()].reduce((sum, loss) => sum + loss, 0);
 }
--- a/packages/core/src/spread/least_work.ts
+++ b/packages/core/src/spread/least_work.ts
@@ -33,6 +33,7 @@
       helpers: [],
       helperTokens: 0,
       expectedMs: 0,
+      usualGapMs: 0,
       loss: 0,
       reason,
     };
--- a/packages/gateway/src/gateway_program.ts
+++ b/packages/gateway/src/gateway_program.ts
@@ -27,6 +27,9 @@
 import {GATEWAY_SETTINGS} from './settings.js';
 import {createStoreAdapter} from './store/store_adapter.js';
 
+/** Each wake-up costs processor time, which is scarce on entry VMs. */
+const TICK_INTERVAL_MS = 25;
+
 type GatewaySettings = typeof GATEWAY_SETTINGS;
 
 /** Creates `wl-gateway` for a platform. */
@@ -137,6 +140,7 @@
     node: createGatewayNode(gatewayConfigOf(cfg, peers.address, incarnation)),
     sources: [source.stream],
     tick: {kind: 'tick'},
+    tickIntervalMs: TICK_INTERVAL_MS,
     random: createSeededRandom(incarnation),
     perform: action => performAction(handlers, action),
     onError,
--- a/packages/runtime/src/loop/run_loop.ts
+++ b/packages/runtime/src/loop/run_loop.ts
@@ -3,7 +3,7 @@
 import type {DecisionNode} from '@wisterialadder/core/types/decision_node.js';
 import type {RandomSource} from '@wisterialadder/core/types/random_source.js';
 
-/** Resolution of every timeout, in milliseconds. */
+/** Resolution of every timeout unless the program asks for another. */
 const TICK_INTERVAL_MS = 10;
 
 /** What the loop connects. */
@@ -12,6 +12,8 @@
   sources: Stream<E>[];
   /** Event that the timer feeds to the node. */
   tick: E;
+  /** Pause between two ticks, in milliseconds. */
+  tickIntervalMs?: number;
   random: RandomSource;
   /** Carries out one action. Errors end neither the loop nor the step. */
   perform(action: A): void;
@@ -25,7 +27,8 @@
  * resulting actions, all on the calling thread. Resolves after `stop`.
  */
 export async function runLoop<E, A>(parts: LoopParts<E, A>): Promise<void> {
-  const ticks = periodic(TICK_INTERVAL_MS).constant(parts.tick);
+  const intervalMs = parts.tickIntervalMs ?? TICK_INTERVAL_MS;
+  const ticks = periodic(intervalMs).constant(parts.tick);
   const events = merge(ticks, ...parts.sources, never());
   await events
     .until(parts.stop)
