Survive SIGHUP; never take a reset for the end of an answer

Cause: no handler for SIGHUP; undici takes ECONNRESET for the end of an answer without a length. Ruled out: the body length in our own head, which is that of the bytes received. Change: programs read their settings again on SIGHUP and when the file changes; a connection that ended with an error completes no answer; a kept connection whose socket is closed is not taken again. Delays are also priced by the time at which callers give up.

--- a/packages/core/src/drain/drain.ts
+++ b/packages/core/src/drain/drain.ts
@@ -19,9 +19,9 @@
 /** What the drain needs of its process. */
 export interface DrainParts<C extends DrainContext> {
   /** Time between "not ready" and refusing requests, in milliseconds. */
-  noticeMs: number;
+  noticeMs(): number;
   /** Time after which everything in flight is cut; undefined for never. */
-  limitMs: number | undefined;
+  limitMs(): number | undefined;
   /** Ends every request that is still in flight. */
   cutAll(ctx: C): void;
 }
@@ -45,10 +45,10 @@
 
   function advance(ctx: C, inFlight: number): void {
     const elapsedMs = ctx.nowMs - requestedMs;
-    if (stage === 'notice' && elapsedMs >= parts.noticeMs) stage = 'draining';
+    if (stage === 'notice' && elapsedMs >= parts.noticeMs()) stage = 'draining';
     if (stage !== 'draining') return;
     if (inFlight === 0) stop(ctx, 0);
-    else if (elapsedMs >= (parts.limitMs ?? Infinity)) cut(ctx, inFlight);
+    else if (elapsedMs >= (parts.limitMs() ?? Infinity)) cut(ctx, inFlight);
   }
 
   function cut(ctx: C, inFlight: number): void {
--- a/packages/core/src/engine_model/affected_work.ts
+++ b/packages/core/src/engine_model/affected_work.ts
@@ -10,4 +10,6 @@
    * written, the rest until the first piece is due for one that is read.
    */
   limitMs: number;
+  /** Time after which its caller gives up. */
+  giveUpMs: number;
 }
--- a/packages/core/src/engine_model/estimate_load.ts
+++ b/packages/core/src/engine_model/estimate_load.ts
@@ -2,6 +2,7 @@
 import type {Work} from '../fleet/work.js';
 import type {AffectedWork} from './affected_work.js';
 import type {EngineLoad} from './engine_load.js';
+import {giveUpMs} from './give_up_time.js';
 import {passMs} from './pass_cost.js';
 import {partReadMs} from './read_cost.js';
 import {requestValue} from './request_value.js';
@@ -37,7 +38,13 @@
     if (writing && (answers || shared)) contextTokens += partTokens;
     if (!writing) {
       reading.push(work);
-      affected.push({work, value, limitMs: work.dueMs - nowMs});
+      const patienceMs = giveUpMs(work.dueMs - work.startedMs, gapMs);
+      affected.push({
+        work,
+        value,
+        limitMs: work.dueMs - nowMs,
+        giveUpMs: work.startedMs + patienceMs - nowMs,
+      });
     }
     if (!answers) {
       if (!writing) helps += 1;
@@ -48,7 +55,12 @@
     if (gapMs <= STRICT_GAP_MS) strict = true;
     if (writing) {
       writers += 1;
-      affected.push({work, value, limitMs: gapMs});
+      affected.push({
+        work,
+        value,
+        limitMs: gapMs,
+        giveUpMs: giveUpMs(0, gapMs),
+      });
     }
   }
   return {
--- a/packages/core/src/forwarding/retry_allowance.ts
+++ b/packages/core/src/forwarding/retry_allowance.ts
@@ -28,9 +28,12 @@
   repeats: number[];
 }
 
-/** Creates an allowance of which nothing is used. */
+/**
+ * Creates an allowance of which nothing is used.
+ * @param current returns the settings in force
+ */
 export function createRetryAllowance(
-  cfg: RetryAllowanceConfig,
+  current: () => RetryAllowanceConfig,
 ): RetryAllowance {
   const services = new Map<string, Counts>();
 
@@ -40,14 +43,16 @@
       counts = {requests: [], repeats: []};
       services.set(service, counts);
     }
-    dropBefore(counts.requests, nowMs - cfg.windowMs);
-    dropBefore(counts.repeats, nowMs - cfg.windowMs);
+    const {windowMs} = current();
+    dropBefore(counts.requests, nowMs - windowMs);
+    dropBefore(counts.repeats, nowMs - windowMs);
     return counts;
   }
 
   function left(nowMs: number, service: string, gateways: number): number {
     const {requests, repeats} = of(nowMs, service);
-    const own = requests.length * cfg.ratio + cfg.extra / gateways;
+    const {ratio, extra} = current();
+    const own = requests.length * ratio + extra / gateways;
     return own * USED_SHARE - repeats.length;
   }
 
--- a/packages/core/src/gateway/events/gateway_event.ts
+++ b/packages/core/src/gateway/events/gateway_event.ts
@@ -9,6 +9,7 @@
 import type {PieceReceived} from './piece_received.js';
 import type {RegistryRead} from './registry_read.js';
 import type {RequestArrived} from './request_arrived.js';
+import type {SettingsChanged} from './settings_changed.js';
 import type {StopRequested} from './stop_requested.js';
 import type {StoreFailed} from './store_failed.js';
 import type {StreamEnded} from './stream_ended.js';
@@ -28,6 +29,7 @@
   | PieceReceived
   | RegistryRead
   | RequestArrived
+  | SettingsChanged
   | StopRequested
   | StoreFailed
   | StreamEnded
--- a/packages/core/src/gateway/gateway_node.ts
+++ b/packages/core/src/gateway/gateway_node.ts
@@ -23,6 +23,7 @@
 export function createGatewayNode(
   cfg: GatewayConfig,
 ): DecisionNode<GatewayEvent, GatewayAction> {
+  let settings = cfg;
   const configuration = createPublishedConfiguration();
   const registry = createEndpointRegistry();
   const health = createEndpointHealth();
@@ -66,11 +67,11 @@
     health,
     members,
     gossip,
-    allowance: createRetryAllowance({
-      ratio: cfg.retryRatio,
-      extra: cfg.retryExtra,
-      windowMs: cfg.retryWindowMs,
-    }),
+    allowance: createRetryAllowance(() => ({
+      ratio: settings.retryRatio,
+      extra: settings.retryExtra,
+      windowMs: settings.retryWindowMs,
+    })),
     endpointNamed: name =>
       registry
         .entries()
@@ -78,8 +79,8 @@
     closed,
   });
   const drain = createDrain<GatewayContext>({
-    noticeMs: cfg.drainNoticeMs,
-    limitMs: cfg.drainLimitMs,
+    noticeMs: () => settings.drainNoticeMs,
+    limitMs: () => settings.drainLimitMs,
     cutAll: ctx => forwarding.cutAll(ctx),
   });
 
@@ -97,6 +98,9 @@
 
   const shutdown: GatewayFeature = {
     handlers: {
+      settings_changed: (_ctx, event) => {
+        settings = event.cfg;
+      },
       stop_requested: ctx => {
         drain.stopRequested(ctx, forwarding.inFlight());
         ctx.emit({kind: 'close_callers', idleToo: false});
--- a/packages/core/src/router/router_node.ts
+++ b/packages/core/src/router/router_node.ts
@@ -100,8 +100,8 @@
   };
   const claims = createClaimsFeature(cfg, members, claimListener);
   const drain = createDrain<RouterContext>({
-    noticeMs: cfg.drainNoticeMs,
-    limitMs: undefined,
+    noticeMs: () => cfg.drainNoticeMs,
+    limitMs: () => undefined,
     cutAll,
   });
   const admit = createAdmission({
--- a/packages/core/src/shared/log_events.ts
+++ b/packages/core/src/shared/log_events.ts
@@ -226,4 +226,9 @@
     text: 'readiness changed',
     action: 'The reason says why not, or what is in doubt.',
   },
+  WL9006: {
+    level: 'info',
+    text: 'settings read again',
+    action: 'If they were not taken, mend the problems that are named.',
+  },
 } as const;
--- a/packages/core/src/spread/least_loss.ts
+++ b/packages/core/src/spread/least_loss.ts
@@ -1,6 +1,7 @@
 import type {EngineProfile} from '../configuration/engine_profile.js';
 import type {EngineLoad} from '../engine_model/engine_load.js';
 import {STRICT_GAP_MS} from '../engine_model/estimate_load.js';
+import {giveUpMs} from '../engine_model/give_up_time.js';
 import {lateness} from '../engine_model/lateness.js';
 import {passMs} from '../engine_model/pass_cost.js';
 import {partReadMs} from '../engine_model/read_cost.js';
@@ -148,10 +149,11 @@
     const queuedMs = load.backlogMs + load.passMs;
     const harms = new Map<Work, number>();
     let harm = 0;
-    for (const {work, value, limitMs} of load.affected) {
-      const added =
-        lateness(queuedMs + readMs, limitMs) - lateness(queuedMs, limitMs);
-      const loss = value * (LATE_SHARE * added + delayLoss(work, readMs));
+    for (const {work, value, limitMs, giveUpMs} of load.affected) {
+      const late = addedLateness(queuedMs, readMs, limitMs);
+      const lost = addedLateness(queuedMs, readMs, giveUpMs);
+      const share = LATE_SHARE * late + (1 - LATE_SHARE) * lost;
+      const loss = value * (share + delayLoss(work, readMs));
       harms.set(work, loss);
       harm += loss;
     }
@@ -186,8 +188,10 @@
   /** Loss of the request itself if its first piece comes at that time. */
   private ownLoss(req: ChoiceRequest, expectedMs: number): number {
     const value = requestValue(req.promptTokens);
+    const late = lateness(expectedMs, req.dueInMs);
+    const lost = lateness(expectedMs, giveUpMs(req.dueInMs, req.gapMs));
     return (
-      LATE_SHARE * value * lateness(expectedMs, req.dueInMs) +
+      value * (LATE_SHARE * late + (1 - LATE_SHARE) * lost) +
       (expectedMs / 1_000) * LOSS_PER_SECOND
     );
   }
@@ -203,6 +207,11 @@
   }
 }
 
+/** How much likelier a delay makes it that a limit is missed. */
+function addedLateness(ms: number, delayMs: number, limitMs: number): number {
+  return lateness(ms + delayMs, limitMs) - lateness(ms, limitMs);
+}
+
 /** A prompt that is being read loses worth with each second of delay. */
 function delayLoss(work: Work, delayMs: number): number {
   return work.writing ? 0 : (delayMs / 1_000) * READ_DELAY_LOSS_PER_SECOND;
--- a/packages/gateway/src/endpoints/attempt_handler.ts
+++ b/packages/gateway/src/endpoints/attempt_handler.ts
@@ -91,6 +91,7 @@
   function complete(): void {
     if (over) return;
     if (!answer) return fail('broken', 'no answer');
+    if (lease.connection.broken()) return fail(failure(), 'reset');
     const {verdict, keepAliveMs} = answer;
     if (verdict === 'answer' && answer.head.streamed) {
       if (framer.pendingBytes() > 0) return fail('broken', 'event cut off');
--- a/packages/gateway/src/endpoints/connection_pool.ts
+++ b/packages/gateway/src/endpoints/connection_pool.ts
@@ -104,10 +104,10 @@
     for (;;) {
       const idle = connections.idle.pop();
       if (!idle) return undefined;
-      if (idle.untilMs > nowMs && idle.connection.address === address) {
-        return idle.connection;
-      }
-      idle.connection.destroy();
+      const {connection, untilMs} = idle;
+      const fits = untilMs > nowMs && connection.address === address;
+      if (fits && connection.usable()) return connection;
+      connection.destroy();
     }
   }
 
--- a/packages/gateway/src/endpoints/engine_connection.ts
+++ b/packages/gateway/src/endpoints/engine_connection.ts
@@ -14,6 +14,10 @@
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
   ): void;
+  /** Whether it may carry a request after the one that has ended. */
+  usable(): boolean;
+  /** Whether it ended with an error instead of a close by the endpoint. */
+  broken(): boolean;
   /** Closes the connection at once. */
   destroy(): void;
 }
@@ -26,7 +30,8 @@
   address: string,
   closed: () => void,
 ): EngineConnection {
-  let established = false;
+  let socket: Socket | undefined;
+  let broken = false;
   let ended = false;
   const client = new Client(`http://${address}`, {
     pipelining: 1,
@@ -37,15 +42,19 @@
     bodyTimeout: 0,
     maxHeaderSize: MAX_HEAD_BYTES,
     connect: (options, callback) => {
-      if (established) {
+      if (socket) {
         // Each connection is opened once, so that the pool can count them.
         callback(new Error('connection is closed'), null);
         return;
       }
-      openSocket(options.hostname, Number(options.port), (err, socket) => {
-        if (socket) established = true;
-        if (err) callback(err, null);
-        else callback(null, socket as Socket);
+      openSocket(options.hostname, Number(options.port), (err, opened) => {
+        if (!opened) return callback(err ?? new Error('not connected'), null);
+        socket = opened;
+        // undici takes a reset for the end of an answer without a length.
+        socket.on('error', () => {
+          broken = true;
+        });
+        callback(null, opened);
       });
     },
   });
@@ -64,6 +73,8 @@
     dispatch: (options, handler) => {
       client.dispatch(options, handler);
     },
+    usable: () => !ended && socket?.destroyed === false,
+    broken: () => broken,
     destroy: end,
   };
 }
--- a/packages/gateway/src/gateway_program.ts
+++ b/packages/gateway/src/gateway_program.ts
@@ -136,6 +136,10 @@
   };
 
   run.onSignal(() => push({kind: 'stop_requested'}));
+  run.onReload(next => {
+    const changed = gatewayConfigOf(next, peers.address, incarnation);
+    push({kind: 'settings_changed', cfg: changed});
+  });
   const loop = runLoop<GatewayEvent, GatewayAction>({
     node: createGatewayNode(gatewayConfigOf(cfg, peers.address, incarnation)),
     sources: [source.stream],
--- a/packages/runtime/src/program/program.ts
+++ b/packages/runtime/src/program/program.ts
@@ -27,6 +27,11 @@
   store: DisposableStore;
   /** Registers what SIGTERM and SIGINT do; called once for each signal. */
   onSignal(handler: () => void): void;
+  /**
+   * Registers what happens when the settings file has changed and is sound.
+   * Called for SIGHUP and for a change that no signal announces.
+   */
+  onReload(handler: (cfg: SettingsOf<D>) => void): void;
   /** Disposes everything and ends the process. */
   exit(code: number): void;
 }
--- a/packages/runtime/src/program/run_program.ts
+++ b/packages/runtime/src/program/run_program.ts
@@ -1,10 +1,9 @@
-import {readFileSync} from 'node:fs';
 import {cac} from 'cac';
-import {Err, type Result} from '@wisterialadder/core/shared/result.js';
 import {createDisposableStore} from '../lifecycle/disposable_store.js';
+import {createReload} from './reload.js';
 import {logError} from '../logging/log_error.js';
 import {createLogger} from '../logging/logger.js';
-import {parseSettings} from '../settings/parse_settings.js';
+import {readSettings} from '../settings/read_settings.js';
 import type {
   SettingsDefinition,
   SettingsOf,
@@ -50,7 +49,7 @@
     process.stdout.write(`${file}: ok\n`);
     return;
   }
-  await start(program, settings.val);
+  await start(program, file, settings.val);
 }
 
 function refuseSettings(errs: SettingsError[]): never {
@@ -60,24 +59,9 @@
   process.exit(EXIT_USAGE);
 }
 
-/** Reads and checks a settings file. */
-export function readSettings<D extends SettingsDefinition>(
-  definition: D,
-  file: string,
-): Result<SettingsOf<D>, SettingsError[]> {
-  let content: string;
-  try {
-    content = readFileSync(file, 'utf8');
-  } catch (err) {
-    const problem = `cannot be read (${(err as Error).message})`;
-    const allowed = 'a readable file';
-    return Err([{file, section: '', key: '', problem, allowed}]);
-  }
-  return parseSettings(definition, content, file);
-}
-
 async function start<D extends SettingsDefinition>(
   program: Program<D>,
+  file: string,
   cfg: SettingsOf<D>,
 ): Promise<void> {
   const logger = createLogger(program.name, {pid: process.pid});
@@ -90,8 +74,11 @@
     process.on('SIGTERM', handler);
     process.on('SIGINT', handler);
   };
+  const reload = createReload(program, file, logger);
+  store.add(reload);
   try {
-    const run = {cfg, logger, store, exit, onSignal};
+    const onReload = reload.onReload;
+    const run = {cfg, logger, store, exit, onSignal, onReload};
     const addresses = await program.start(run);
     if (!addresses) return;
     logger.write('WL9001', {version: VERSION, ...addresses});
