Keep serving what is known when a listing of the store fails

Cause: a gateway that had lived on another's news forgot its position before it listed the registry itself; in an outage of the store it then counted as not loaded, refused everything and gave restarted gateways no copy. Ruled out: peers out of reach (they were heard 15 ms after the restart). Change: position and need for a listing are kept apart; an outdated listing is ignored; a gateway without knowledge asks the first peer it hears.

--- /dev/null
+++ b/packages/core/src/forwarding/retry_allowance.test.ts
@@ -0,0 +1,60 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {createRetryAllowance} from './retry_allowance.js';
+
+const CONFIG = {ratio: 0.2, extra: 102, windowMs: 10_000};
+
+interface Step {
+  gateway: number;
+  pauseMs: number;
+  repeat: boolean;
+}
+
+const STEPS = fc.array(
+  fc.record<Step>({
+    gateway: fc.integer({min: 0, max: 6}),
+    pauseMs: fc.integer({min: 0, max: 50}),
+    repeat: fc.boolean(),
+  }),
+  {maxLength: 800},
+);
+
+test('seven gateways together keep to the bound in every window', () => {
+  fc.assert(
+    fc.property(STEPS, steps => {
+      const gateways = Array.from({length: 7}, () =>
+        createRetryAllowance(() => CONFIG),
+      );
+      const requests: number[] = [];
+      const repeats: number[] = [];
+      let nowMs = 0;
+      for (const {gateway, pauseMs, repeat} of steps) {
+        nowMs += pauseMs;
+        const allowance = gateways[gateway]!;
+        if (!repeat) {
+          allowance.requested(nowMs, 'engines');
+          requests.push(nowMs);
+        } else if (allowance.tryTake(nowMs, 'engines', 7)) {
+          repeats.push(nowMs);
+        }
+      }
+      for (const endMs of repeats) {
+        const inWindow = (times: number[]): number =>
+          times.filter(t => t > endMs - CONFIG.windowMs && t <= endMs).length;
+        const bound = inWindow(requests) * CONFIG.ratio + CONFIG.extra;
+        assert.ok(inWindow(repeats) <= bound);
+      }
+    }),
+    {seed: 1, numRuns: 200},
+  );
+});
+
+test('repeats are counted for each service and come back with the window', () => {
+  const allowance = createRetryAllowance(() => ({...CONFIG, extra: 2.5}));
+  assert.ok(allowance.tryTake(0, 'engines', 1));
+  assert.ok(allowance.tryTake(0, 'engines', 1));
+  assert.ok(!allowance.tryTake(0, 'engines', 1));
+  assert.ok(allowance.tryTake(0, 'register', 1));
+  assert.ok(allowance.tryTake(10_001, 'engines', 1));
+});
--- a/packages/core/src/store_watch/store_position.ts
+++ b/packages/core/src/store_watch/store_position.ts
@@ -1,7 +1,9 @@
 /** How far one part of the store was read. */
 export interface StorePosition {
-  /** Offset of the next record; undefined if everything must be listed. */
+  /** Offset of the next record; undefined if nothing is known. */
   next: number | undefined;
+  /** Whether the next read must list everything. */
+  mustList: boolean;
   /** Steady clock; what is known was the newest at this time. */
   freshMs: number;
   /** Steady clock; when the open read was sent. */
@@ -12,6 +14,7 @@
 export function createStorePosition(): StorePosition {
   return {
     next: undefined,
+    mustList: true,
     freshMs: Number.NEGATIVE_INFINITY,
     askedMs: undefined,
   };
--- /dev/null
+++ b/packages/core/src/store_watch/store_watch.test.ts
@@ -0,0 +1,186 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {GatewayAction} from '../gateway/actions/gateway_action.js';
+import type {ReadStore} from '../gateway/actions/read_store.js';
+import type {GatewayEvent} from '../gateway/events/gateway_event.js';
+import type {Beat} from '../fleet/messages/beat.js';
+import type {PeerMessage} from '../fleet/messages/peer_message.js';
+import type {StoreNews} from '../fleet/messages/store_news.js';
+import {
+  configurationRead,
+  entryChange,
+  readyGateway,
+  refusal,
+  registryRead,
+  requestArrived,
+  started,
+  startedGateway,
+} from '../mocks/gateway_harness.js';
+import {configuration, endpointEntry} from '../mocks/gateway_parts.js';
+
+/** Sorts before the gateway of the tests, so it reads for both. */
+const READER = '10.0.0.0:7000';
+
+function fromPeer(message: PeerMessage, from = READER): GatewayEvent {
+  return {kind: 'peer_received', from, incarnation: 1, message};
+}
+
+function beat(over: Partial<Beat> = {}): Beat {
+  return {
+    kind: 'beat',
+    failureDomain: 'amman-1',
+    storeReachable: true,
+    draining: false,
+    wantsReply: false,
+    work: [],
+    ...over,
+  };
+}
+
+function news(over: Partial<StoreNews> = {}): StoreNews {
+  return {
+    kind: 'store_news',
+    configurationOffset: 1,
+    registryOffset: 10,
+    registryFromOffset: 10,
+    changes: [],
+    ageMs: 5,
+    ...over,
+  };
+}
+
+const STORE_FAILED: GatewayEvent = {
+  kind: 'store_failed',
+  call: 'registry',
+  failure: 'unavailable',
+};
+
+function reads(actions: GatewayAction[]): ReadStore[] {
+  return actions.filter(action => action.kind === 'read_store');
+}
+
+function messages(actions: GatewayAction[]): PeerMessage['kind'][] {
+  return actions.flatMap(action =>
+    action.kind === 'send_peers' ? [action.message.kind] : [],
+  );
+}
+
+test('one gateway reads the store for all that hear it', () => {
+  const gateway = readyGateway();
+  gateway.step(fromPeer(beat()));
+  for (let i = 0; i < 20; i++) {
+    gateway.step(fromPeer(beat()));
+    gateway.step(fromPeer(news()));
+    assert.deepEqual(reads(gateway.step({kind: 'tick'}, 250)), []);
+  }
+});
+
+test('a gateway that hears no news reads by itself', () => {
+  const gateway = readyGateway();
+  gateway.step(fromPeer(beat()));
+  gateway.step(fromPeer(news()));
+  const asked = reads(gateway.step({kind: 'tick'}, 1_200));
+  assert.deepEqual(
+    asked.map(({call}) => call),
+    ['registry', 'configuration'],
+  );
+});
+
+test('news of a leaving endpoint takes it out at once', () => {
+  const entries = [endpointEntry({id: 'e1'}), endpointEntry({id: 'e2'})];
+  const gateway = readyGateway({entries});
+  gateway.step(fromPeer(beat()));
+  const leaving = endpointEntry({id: 'e1', state: 'leaving', sequence: 2});
+  const changes = [entryChange(leaving)];
+  gateway.step(fromPeer(news({registryOffset: 12, changes})));
+  for (let i = 0; i < 8; i++) {
+    const actions = gateway.step(requestArrived({reqId: `r${i}`}));
+    assert.equal(started(actions)?.endpoint, 'e2');
+  }
+});
+
+test('news with a gap is not applied; the store is read instead', () => {
+  const gateway = readyGateway();
+  gateway.step(fromPeer(beat()));
+  const gap = news({registryOffset: 30, registryFromOffset: 20});
+  const asked = reads(gateway.step(fromPeer(gap)));
+  assert.deepEqual(
+    asked.map(({call}) => call),
+    ['registry'],
+  );
+});
+
+test('a gateway that lived on news keeps serving when the store fails', () => {
+  const gateway = readyGateway();
+  gateway.step(fromPeer(beat()));
+  gateway.step(fromPeer(news({registryOffset: 12})));
+  gateway.step({kind: 'tick'}, 1_200);
+  gateway.step(STORE_FAILED);
+  assert.ok(started(gateway.step(requestArrived())));
+});
+
+test('a gateway that starts while the store is down copies a peer', () => {
+  const gateway = startedGateway({seeds: [READER]});
+  gateway.step(fromPeer(beat()), 100);
+  const failed = gateway.step(STORE_FAILED, 200);
+  assert.deepEqual(messages(failed), ['state_pull']);
+  assert.equal(refusal(gateway.step(requestArrived())), 'not_ready');
+  gateway.step(
+    fromPeer({
+      kind: 'state_copy',
+      configurationOffset: 4,
+      configuration: configuration(),
+      registryOffset: 9,
+      entries: [endpointEntry()],
+      ageMs: 100,
+    }),
+  );
+  assert.ok(started(gateway.step(requestArrived({reqId: 'r2'}))));
+});
+
+test('a configuration never goes back', () => {
+  const gateway = readyGateway({configuration: configuration({version: 5})});
+  const older = configuration({version: 4, routes: []});
+  gateway.step(configurationRead(older, 2));
+  assert.ok(started(gateway.step(requestArrived())));
+});
+
+test('a newer configuration is in force for the next request', () => {
+  const gateway = readyGateway();
+  gateway.step(configurationRead(configuration({version: 2, routes: []}), 2));
+  assert.equal(refusal(gateway.step(requestArrived())), 'unknown_route');
+});
+
+test('endpoints that the store forgot in an outage stay for two seconds', () => {
+  const gateway = readyGateway({entries: [endpointEntry()]});
+  gateway.step({kind: 'tick'}, 500);
+  gateway.step(STORE_FAILED);
+  gateway.step({kind: 'tick'}, 1_000);
+  gateway.step(registryRead([], 20));
+  assert.ok(started(gateway.step(requestArrived())));
+  const late = requestArrived({reqId: 'r2'});
+  assert.equal(started(gateway.step(late, 2_000)), undefined);
+});
+
+test('a listing older than the news is not taken', () => {
+  const gateway = readyGateway({entries: [endpointEntry()]});
+  gateway.step(fromPeer(beat()));
+  gateway.step(fromPeer(news({registryOffset: 15})));
+  gateway.step(registryRead([], 12));
+  assert.ok(started(gateway.step(requestArrived())));
+});
+
+test('a reader tells the others what it read', () => {
+  const gateway = readyGateway();
+  gateway.step(fromPeer(beat(), '10.0.0.9:7000'));
+  gateway.step({kind: 'tick'}, 500);
+  gateway.step(configurationRead(undefined));
+  const told = gateway.step({
+    kind: 'registry_read',
+    listing: false,
+    fromOffset: 10,
+    nextOffset: 11,
+    changes: [entryChange(endpointEntry({id: 'e3'}))],
+  });
+  assert.deepEqual(messages(told), ['store_news']);
+});
--- a/packages/core/src/store_watch/store_watch.ts
+++ b/packages/core/src/store_watch/store_watch.ts
@@ -24,6 +24,8 @@
 const READ_TIMEOUT_MS = 1_500;
 /** The store needs about this long to list all living endpoints again. */
 const RELISTING_MS = 2_000;
+/** Time after its start in which a process counts on the store alone. */
+const FIRST_READ_MS = 250;
 /** Pause between two requests for another gateway's copy. */
 const PULL_INTERVAL_MS = 400;
 
@@ -60,11 +62,16 @@
   let failedSinceSuccess = false;
   let polledMs = Number.NEGATIVE_INFINITY;
   let pulledMs = Number.NEGATIVE_INFINITY;
-  /** What others told was adopted, so that the next read must list. */
-  let toldSinceRead = false;
+  let startedMs: number | undefined;
+
+  /** The store would have answered by now if it could. */
+  function waitedLong(nowMs: number): boolean {
+    return nowMs - (startedMs ?? nowMs) >= FIRST_READ_MS;
+  }
 
   function expire(ctx: GatewayContext): void {
     const {nowMs} = ctx;
+    startedMs ??= nowMs;
     for (const position of Object.values(positions)) {
       const {askedMs} = position;
       if (askedMs !== undefined && nowMs - askedMs >= READ_TIMEOUT_MS) {
@@ -96,9 +103,9 @@
   function ask(ctx: GatewayContext, call: 'configuration' | 'registry'): void {
     const position = positions[call];
     if (position.askedMs !== undefined) return;
-    if (call === 'registry' && toldSinceRead) position.next = undefined;
     position.askedMs = ctx.nowMs;
-    ctx.emit({kind: 'read_store', call, fromOffset: position.next});
+    const fromOffset = position.mustList ? undefined : position.next;
+    ctx.emit({kind: 'read_store', call, fromOffset});
   }
 
   function answered(ctx: GatewayContext, position: StorePosition): void {
@@ -120,7 +127,7 @@
     const position = positions[call];
     position.askedMs = undefined;
     if (failure === 'expired') {
-      position.next = undefined;
+      position.mustList = true;
       ask(ctx, call);
       return;
     }
@@ -140,6 +147,7 @@
     const position = positions.configuration;
     answered(ctx, position);
     position.next = Math.max(position.next ?? 0, event.nextOffset);
+    position.mustList = false;
     if (event.configuration) adopt(ctx, event.configuration, 'store');
     tell(ctx);
   }
@@ -168,13 +176,15 @@
     const position = positions.registry;
     const askedFrom = position.next;
     answered(ctx, position);
-    if (event.listing) {
-      toldSinceRead = false;
+    // A late answer may be older than what others have told since.
+    const outdated = event.nextOffset < (position.next ?? 0);
+    if (event.listing && !outdated) {
+      position.mustList = false;
       position.next = event.nextOffset;
       const changed = registry.list(ctx.nowMs, event.changes);
       recent.restart(event.nextOffset);
       if (changed) registryChanged(ctx, []);
-    } else if (askedFrom === event.fromOffset) {
+    } else if (!event.listing && askedFrom === event.fromOffset) {
       position.next = event.nextOffset;
       const applied = event.changes.filter(change =>
         registry.apply(ctx.nowMs, change),
@@ -221,6 +231,7 @@
 
   function received(ctx: GatewayContext, event: PeerReceived): void {
     const {from, message} = event;
+    if (!loaded() && waitedLong(ctx.nowMs)) pull(ctx, from);
     switch (message.kind) {
       case 'store_news':
         return newsReceived(ctx, from, message);
@@ -250,7 +261,7 @@
         registry.apply(ctx.nowMs, change),
       );
       entries.next = news.registryOffset;
-      toldSinceRead = true;
+      entries.mustList = true;
       if (applied.length > 0) registryChanged(ctx, applied);
     }
     if (covered) entries.freshMs = Math.max(entries.freshMs, freshMs);
@@ -319,7 +330,7 @@
     }));
     entries.next = copy.registryOffset;
     entries.freshMs = Math.max(entries.freshMs, freshMs);
-    toldSinceRead = true;
+    entries.mustList = true;
     if (registry.list(ctx.nowMs, changes)) parts.registered(ctx);
   }
 
