--- /dev/null
+++ b/packages/core/src/fleet/fleet_gossip.test.ts
@@ -0,0 +1,157 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {GatewayAction} from '../gateway/actions/gateway_action.js';
+import type {SendPeers} from '../gateway/actions/send_peers.js';
+import type {GatewayEvent} from '../gateway/events/gateway_event.js';
+import {
+  piece,
+  readyGateway,
+  requestArrived,
+  started,
+  startedGateway,
+} from '../mocks/gateway_harness.js';
+import {endpointEntry} from '../mocks/gateway_parts.js';
+import type {Beat} from './messages/beat.js';
+import type {PeerMessage} from './messages/peer_message.js';
+import type {WorkNotice} from './messages/work_notice.js';
+
+const PEER = '10.0.0.2:7000';
+
+function fromPeer(message: PeerMessage, incarnation = 1): GatewayEvent {
+  return {kind: 'peer_received', from: PEER, incarnation, message};
+}
+
+function beat(over: Partial<Beat> = {}): Beat {
+  return {
+    kind: 'beat',
+    failureDomain: 'amman-2',
+    storeReachable: false,
+    draining: false,
+    wantsReply: false,
+    work: [],
+    ...over,
+  };
+}
+
+function notice(over: Partial<WorkNotice> = {}): WorkNotice {
+  return {
+    work: 1,
+    main: 'e1',
+    helpers: [],
+    shared: false,
+    promptTokens: 200_000,
+    outputTokens: 100,
+    dueInMs: 3_000,
+    gapMs: 1_000,
+    ageMs: 0,
+    writing: false,
+    ...over,
+  };
+}
+
+function sent(actions: GatewayAction[]): SendPeers[] {
+  return actions.filter(action => action.kind === 'send_peers');
+}
+
+function twoEngines() {
+  const entries = [endpointEntry({id: 'e1'}), endpointEntry({id: 'e2'})];
+  return readyGateway({entries});
+}
+
+test('a gateway announces itself, then greets those it finds', () => {
+  const gateway = startedGateway();
+  const asked = gateway.step({kind: 'member_announced'});
+  assert.ok(
+    asked.some(
+      action => action.kind === 'read_store' && action.call === 'members',
+    ),
+  );
+  const record = {address: PEER, failureDomain: 'amman-2', incarnation: 1};
+  const greeted = sent(gateway.step({kind: 'members_read', members: [record]}));
+  assert.deepEqual(
+    greeted.map(({to}) => to),
+    [[PEER]],
+  );
+});
+
+test('a lost announcement is repeated', () => {
+  const gateway = startedGateway();
+  gateway.step({
+    kind: 'store_failed',
+    call: 'announce',
+    failure: 'unavailable',
+  });
+  const actions = gateway.step({kind: 'tick'}, 1_000);
+  assert.ok(actions.some(({kind}) => kind === 'announce_member'));
+});
+
+test('peers learn of work when it starts, writes and ends', () => {
+  const gateway = twoEngines();
+  gateway.step(fromPeer(beat()));
+  const updates = [
+    gateway.step(requestArrived()),
+    gateway.step(piece(1), 100),
+    gateway.step({kind: 'stream_ended', reqId: 'r1', attempt: 1}, 50),
+  ].map(actions => {
+    const message = sent(actions)[0]?.message;
+    assert.ok(message?.kind === 'work_update');
+    const {started: begun, writing, ended} = message;
+    return [begun.length, writing.length, ended.length];
+  });
+  assert.deepEqual(updates, [
+    [1, 0, 0],
+    [0, 1, 0],
+    [0, 0, 1],
+  ]);
+});
+
+test("a peer's work counts in the choice of an engine", () => {
+  const gateway = twoEngines();
+  const work = [notice({main: 'e1'})];
+  gateway.step(fromPeer(beat({work})));
+  assert.equal(started(gateway.step(requestArrived()))?.endpoint, 'e2');
+});
+
+test('a beat heals lost updates in both directions', () => {
+  const gateway = twoEngines();
+  gateway.step(fromPeer(beat({work: [notice({work: 7, main: 'e1'})]})));
+  gateway.step(fromPeer(beat({work: [notice({work: 8, main: 'e2'})]})));
+  assert.equal(started(gateway.step(requestArrived()))?.endpoint, 'e1');
+});
+
+test('work of a dead or restarted gateway no longer counts', () => {
+  for (const forget of [
+    (gateway: ReturnType<typeof twoEngines>) => {
+      for (let i = 0; i < 4; i++) gateway.step({kind: 'tick'}, 1_000);
+    },
+    (gateway: ReturnType<typeof twoEngines>) => {
+      const update: PeerMessage = {
+        kind: 'work_update',
+        started: [],
+        writing: [],
+        ended: [],
+      };
+      gateway.step(fromPeer(update, 2));
+    },
+  ]) {
+    const gateway = twoEngines();
+    const works = ['e1', 'e2'].map((main, i) => notice({work: i, main}));
+    gateway.step(fromPeer(beat({work: works})));
+    forget(gateway);
+    const actions = gateway.step(requestArrived());
+    const log = actions.find(
+      action => action.kind === 'write_log' && action.event === 'WL8301',
+    );
+    assert.ok(log?.kind === 'write_log');
+    assert.ok(Number(log.fields['expectedMs']) < 200);
+  }
+});
+
+test('messages of an earlier start are dropped', () => {
+  const gateway = twoEngines();
+  gateway.step(fromPeer(beat(), 5));
+  gateway.step(fromPeer(beat({work: [notice({main: 'e1'})]}), 4));
+  const first = started(gateway.step(requestArrived()));
+  const second = started(gateway.step(requestArrived({reqId: 'r2'})));
+  assert.equal(first?.endpoint, second?.endpoint);
+});
--- /dev/null
+++ b/packages/core/src/spread/least_loss.test.ts
@@ -0,0 +1,128 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {estimateLoad} from '../engine_model/estimate_load.js';
+import type {Work} from '../fleet/work.js';
+import {endpointEntry, engineProfile, workOn} from '../mocks/gateway_parts.js';
+import {createTestRandom} from '../mocks/step_harness.js';
+import type {ChoiceRequest} from './choice_request.js';
+import type {EndpointCandidate} from './endpoint_candidate.js';
+import type {EndpointChoice} from './endpoint_choice.js';
+import {LeastLoss} from './least_loss.js';
+
+const PROFILE = engineProfile();
+const NOW_MS = 100;
+
+/** Engines `e1` to `eN` with the given work. */
+function engines(count: number, works: Work[] = []): EndpointCandidate[] {
+  return Array.from({length: count}, (_, i) => {
+    const entry = endpointEntry({id: `e${i + 1}`});
+    const own = works.filter(
+      ({main, helpers}) => main === entry.id || helpers.includes(entry.id),
+    );
+    const load = estimateLoad(entry.id, PROFILE, own, 1, NOW_MS);
+    return {entry, inFlight: own.length, load};
+  });
+}
+
+function writers(count: number, over: Partial<Work> = {}): Work[] {
+  return Array.from({length: count}, (_, i) =>
+    workOn({work: i + 1, writing: true, ...over}),
+  );
+}
+
+function short(over: Partial<ChoiceRequest> = {}): ChoiceRequest {
+  return {
+    promptTokens: 5_000,
+    outputTokens: 1_500,
+    dueInMs: 300,
+    gapMs: 250,
+    bodyBytes: 1_200,
+    ...over,
+  };
+}
+
+function long(over: Partial<ChoiceRequest> = {}): ChoiceRequest {
+  return short({
+    promptTokens: 150_000,
+    dueInMs: 3_000,
+    gapMs: 1_000,
+    bodyBytes: 38_000,
+    ...over,
+  });
+}
+
+function choose(
+  req: ChoiceRequest,
+  candidates: EndpointCandidate[],
+): EndpointChoice {
+  const chooser = new LeastLoss('amman-1', PROFILE);
+  const choice = chooser.choose(req, candidates, createTestRandom(1));
+  assert.ok(choice);
+  return choice;
+}
+
+function idsOf({main, helpers}: EndpointChoice): string[] {
+  return [main, ...helpers].map(({id}) => id);
+}
+
+test('a short prompt joins other short ones and leaves engines free', () => {
+  const candidates = engines(4, writers(4, {main: 'e3'}));
+  assert.deepEqual(idsOf(choose(short(), candidates)), ['e3']);
+});
+
+test('a short prompt avoids an engine whose slots are taken', () => {
+  const candidates = engines(2, writers(11, {main: 'e1'}));
+  assert.deepEqual(idsOf(choose(short(), candidates)), ['e2']);
+});
+
+test('a short prompt avoids an engine that reads a long one', () => {
+  const reading = workOn({promptTokens: 100_000, gapMs: 1_000, dueMs: 3_000});
+  assert.deepEqual(idsOf(choose(short(), engines(2, [reading]))), ['e2']);
+});
+
+test('a long prompt is spread so that it comes in time', () => {
+  const choice = choose(long(), engines(14));
+  assert.ok(choice.helpers.length >= 3);
+  assert.ok(choice.expectedMs < 1_500);
+  assert.equal(choice.helperTokens, 0);
+});
+
+test('a long prompt keeps away from streams that must not pause', () => {
+  const works = ['e1', 'e2', 'e3'].flatMap(main => writers(5, {main}));
+  const ids = idsOf(choose(long(), engines(10, works)));
+  assert.ok(!ids.some(id => ['e1', 'e2', 'e3'].includes(id)));
+});
+
+test('a long prompt does not delay another one that is in time', () => {
+  const reading = workOn({
+    main: 'e1',
+    helpers: ['e2', 'e3'],
+    promptTokens: 200_000,
+    gapMs: 1_000,
+    dueMs: 2_000,
+  });
+  const ids = idsOf(choose(long(), engines(8, [reading])));
+  assert.ok(!ids.some(id => ['e1', 'e2', 'e3'].includes(id)));
+});
+
+test('a prompt over the memory of an engine is stored by its helpers', () => {
+  const choice = choose(long({promptTokens: 500_000}), engines(6));
+  const perEngine = choice.helperTokens;
+  assert.ok(perEngine > 0 && perEngine <= PROFILE.memoryTokens);
+  const stored = perEngine * (choice.helpers.length + 1);
+  assert.ok(stored >= 500_000);
+});
+
+test('a prompt that no set of engines can hold finds none', () => {
+  const chooser = new LeastLoss('amman-1', PROFILE);
+  const req = long({promptTokens: 700_000});
+  const random = createTestRandom(1);
+  assert.equal(chooser.choose(req, engines(2), random), undefined);
+});
+
+test('engines of the own failure domain are taken where all else is equal', () => {
+  const candidates = engines(3);
+  candidates[0]!.entry.failureDomain = 'amman-2';
+  candidates[2]!.entry.failureDomain = 'amman-3';
+  assert.deepEqual(idsOf(choose(short(), candidates)), ['e2']);
+});
--- /dev/null
+++ b/packages/gateway/src/callers/caller_server.test.ts
@@ -0,0 +1,126 @@
+import assert from 'node:assert/strict';
+import {test, type TestContext} from 'node:test';
+import type {CallerLimits} from '@wisterialadder/core/configuration/caller_limits.js';
+import {startCallerHarness, type CallerHarness} from '../mocks/callers.js';
+
+const LIMITS: CallerLimits = {
+  maxHeadBytes: 400,
+  maxBodyBytes: 10,
+  headTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+
+async function fixture(t: TestContext): Promise<CallerHarness> {
+  const harness = await startCallerHarness();
+  harness.server.applyLimits(LIMITS);
+  t.after(() => harness.server.dispose());
+  return harness;
+}
+
+function post(body: string, id = 'r1', extra = ''): string {
+  const length = `content-length: ${body.length}`;
+  return `POST /a/b?c=d HTTP/1.1\r\nhost: x\r\nreq-id: ${id}\r\n${extra}${length}\r\n\r\n${body}`;
+}
+
+function reqIds({events}: CallerHarness): string[] {
+  return events.flatMap(event =>
+    event.kind === 'request_arrived' ? [event.reqId] : [],
+  );
+}
+
+test('a request arrives once, after its whole body', async t => {
+  const harness = await fixture(t);
+  const caller = await harness.connect();
+  caller.socket.write(post('body').slice(0, -2));
+  await new Promise(resolve => setTimeout(resolve, 30));
+  assert.equal(harness.events.length, 0);
+  caller.socket.write('dy');
+  await harness.until(1);
+  assert.equal(harness.open.get('r1')?.body.toString(), 'body');
+});
+
+test('an id that is open already does not mix two requests', async t => {
+  const harness = await fixture(t);
+  for (let i = 0; i < 2; i++) {
+    (await harness.connect()).socket.write(post('x'));
+  }
+  await harness.until(2);
+  const [first, second] = reqIds(harness);
+  assert.notEqual(first, second);
+  assert.equal(harness.open.get(second ?? '')?.callerId, 'r1');
+});
+
+for (const [what, request, status] of [
+  ['body over the limit', post('x'.repeat(11)), 413],
+  ['head over the limit', post('', 'r1', `big: ${'y'.repeat(500)}\r\n`), 431],
+  ['target that is no path', post('').replace('/a/b?c=d', 'http://x/a'), 400],
+  ['request that is none', 'nonsense\r\n\r\n', 400],
+  [
+    'request with two lengths',
+    post('', 'r1', 'transfer-encoding: chunked\r\n'),
+    400,
+  ],
+] as const) {
+  test(`a ${what} is answered ${status} and reaches nobody`, async t => {
+    const harness = await fixture(t);
+    const caller = await harness.connect();
+    caller.socket.write(request);
+    await caller.sees(`HTTP/1.1 ${status}`);
+    await caller.closed;
+    assert.equal(harness.events.length, 0);
+  });
+}
+
+test('a caller that leaves is noticed, one that was answered is not', async t => {
+  const harness = await fixture(t);
+  const caller = await harness.connect();
+  caller.socket.write(post('x'));
+  await harness.until(1);
+  harness.writer.refuse({
+    kind: 'refuse',
+    reqId: 'r1',
+    refusal: 'overloaded',
+    retryAfterMs: undefined,
+  });
+  await caller.sees('HTTP/1.1 503');
+  caller.socket.write(post('x', 'r2'));
+  await harness.until(2);
+  caller.socket.destroy();
+  await harness.until(3);
+  assert.deepEqual(harness.events.at(-1), {kind: 'caller_left', reqId: 'r2'});
+});
+
+test('a broken stream does not look complete', async t => {
+  const harness = await fixture(t);
+  const caller = await harness.connect();
+  caller.socket.write(post('x'));
+  await harness.until(1);
+  const head = {status: 200, headers: [], streamed: true};
+  harness.open.get('r1')?.answers.set(1, {head, body: undefined});
+  const reqId = 'r1';
+  harness.writer.beginStream({kind: 'begin_stream', reqId, attempt: 1});
+  const payload = Buffer.from('id: 1\n\n');
+  harness.writer.deliverPiece({kind: 'deliver_piece', reqId, payload});
+  await caller.sees('id: 1');
+  harness.writer.breakStream({kind: 'break_stream', reqId});
+  await caller.closed;
+  assert.ok(!caller.text().includes('\r\n0\r\n'));
+});
+
+test('a closing server tells callers so and keeps answering', async t => {
+  const harness = await fixture(t);
+  const caller = await harness.connect();
+  harness.server.closeCallers(false);
+  caller.socket.write(post('x'));
+  await harness.until(1);
+  const head = {status: 200, headers: [], streamed: false};
+  harness.open.get('r1')?.answers.set(1, {head, body: Buffer.from('ok')});
+  harness.writer.deliverAnswer({
+    kind: 'deliver_answer',
+    reqId: 'r1',
+    attempt: 1,
+  });
+  await caller.closed;
+  assert.match(caller.text(), /connection: close\r\n/);
+  assert.match(caller.text(), /ok$/);
+});
--- a/packages/gateway/src/endpoints/attempt_runner.ts
+++ b/packages/gateway/src/endpoints/attempt_runner.ts
@@ -55,12 +55,12 @@
       ended: () => running.delete(key),
     });
     running.set(key, handler.cancel);
-    const {head, body, callerId} = open;
+    const {head, body} = open;
     lease.connection.dispatch(
       {
         path: head.target,
         method: head.method as 'GET',
-        headers: parts.codec.headers(action, head, callerId),
+        headers: parts.codec.headers(action, head),
         body: body.length > 0 ? body : null,
       },
       handler,
--- a/packages/gateway/src/endpoints/endpoint_codec.ts
+++ b/packages/gateway/src/endpoints/endpoint_codec.ts
@@ -5,11 +5,7 @@
 /** How endpoints speak. */
 export abstract class EndpointCodec {
   /** Headers of an attempt, names and values in turn. */
-  abstract headers(
-    action: StartAttempt,
-    head: CallerHead,
-    callerId: string,
-  ): string[];
+  abstract headers(action: StartAttempt, head: CallerHead): string[];
 
   /** Reads the head of an answer. */
   abstract read(
--- a/packages/gateway/src/endpoints/engine_connection.ts
+++ b/packages/gateway/src/endpoints/engine_connection.ts
@@ -3,6 +3,8 @@
 
 /** A connection that is not established by then has failed. */
 const CONNECT_TIMEOUT_MS = 400;
+/** Several round trips between failure domains. */
+const HEDGE_AFTER_MS = 60;
 /** Bytes of an answer's head that an endpoint may send. */
 const MAX_HEAD_BYTES = 65_536;
 
@@ -79,24 +81,44 @@
   };
 }
 
+/**
+ * Connects. A lost opening packet is repeated by the network only after a
+ * second, so a second connection is tried soon; the first one that is
+ * established is taken.
+ */
 function openSocket(
   host: string,
   port: number,
   done: (err: Error | undefined, socket?: Socket) => void,
 ): void {
-  const socket = connect({host, port, noDelay: true});
-  const timer = setTimeout(
-    () => socket.destroy(new Error('connect timeout')),
+  const sockets: Socket[] = [];
+  let settled = false;
+
+  function settle(err: Error | undefined, winner?: Socket): void {
+    if (settled) return;
+    settled = true;
+    clearTimeout(hedge);
+    clearTimeout(limit);
+    for (const socket of sockets) {
+      if (socket !== winner) socket.destroy();
+    }
+    done(err, winner);
+  }
+
+  function attempt(): void {
+    const socket = connect({host, port, noDelay: true});
+    sockets.push(socket);
+    socket.on('error', settle);
+    socket.once('connect', () => {
+      socket.removeListener('error', settle);
+      settle(undefined, socket);
+    });
+  }
+
+  const hedge = setTimeout(attempt, HEDGE_AFTER_MS);
+  const limit = setTimeout(
+    () => settle(new Error('connect timeout')),
     CONNECT_TIMEOUT_MS,
   );
-  const failed = (err: Error): void => {
-    clearTimeout(timer);
-    done(err);
-  };
-  socket.once('error', failed);
-  socket.once('connect', () => {
-    clearTimeout(timer);
-    socket.removeListener('error', failed);
-    done(undefined, socket);
-  });
+  attempt();
 }
--- /dev/null
+++ b/packages/gateway/src/mocks/callers.ts
@@ -0,0 +1,119 @@
+import {connect, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Refusal} from '@wisterialadder/core/forwarding/refusal.js';
+import type {GatewayEvent} from '@wisterialadder/core/gateway/events/gateway_event.js';
+import {Err, Ok, type Result} from '@wisterialadder/core/shared/result.js';
+import {splitAddress} from '@wisterialadder/runtime/http/http_server.js';
+import {
+  createAnswerWriter,
+  type AnswerWriter,
+} from '../callers/answer_writer.js';
+import {CallerCodec} from '../callers/caller_codec.js';
+import type {CallerHead} from '../callers/caller_head.js';
+import type {CallerRequest} from '../callers/caller_request.js';
+import {
+  startCallerServer,
+  type CallerServer,
+} from '../callers/caller_server.js';
+import type {OpenRequests} from '../callers/open_requests.js';
+import type {RefusalHead} from '../callers/refusal_head.js';
+
+const STATUS: Partial<Record<Refusal, number>> = {
+  head_too_large: 431,
+  body_too_large: 413,
+  overloaded: 503,
+};
+
+/** A codec for tests: the id of a request stands in `req-id`. */
+export class PlainCallerCodec extends CallerCodec {
+  override read({target, headers}: CallerHead): Result<CallerRequest, string> {
+    if (!target.startsWith('/')) return Err('no path');
+    return Ok({
+      callerId: String(headers['req-id'] ?? ''),
+      host: 'any',
+      path: target,
+      bearerKey: '',
+      promptTokens: 0,
+      maxOutputTokens: 0,
+      expectedOutputTokens: 0,
+      resumeAfter: 0,
+      remainingMs: undefined,
+    });
+  }
+
+  override refusal(refusal: Refusal): RefusalHead {
+    return {status: STATUS[refusal] ?? 400, headers: {}};
+  }
+}
+
+/** A server for callers, its events and the writer of its answers. */
+export interface CallerHarness {
+  server: CallerServer;
+  writer: AnswerWriter;
+  open: OpenRequests;
+  events: GatewayEvent[];
+  /** Connects; `text` is what has arrived. */
+  connect(): Promise<CallerSocket>;
+  /** Waits until as many events have come. */
+  until(count: number): Promise<void>;
+}
+
+/** A caller's connection. */
+export interface CallerSocket {
+  socket: Socket;
+  text(): string;
+  /** Waits until the text has arrived. */
+  sees(text: string): Promise<void>;
+  closed: Promise<void>;
+}
+
+/** Starts a server whose requests are noted and not answered. */
+export async function startCallerHarness(): Promise<CallerHarness> {
+  const open: OpenRequests = new Map();
+  const events: GatewayEvent[] = [];
+  const codec = new PlainCallerCodec();
+  const push = (event: GatewayEvent): boolean => {
+    events.push(event);
+    return true;
+  };
+  const server = await startCallerServer({
+    address: '127.0.0.1:0',
+    codec,
+    open,
+    push,
+    onError: err => {
+      throw err;
+    },
+  });
+  const {closing} = server;
+  const writer = createAnswerWriter({open, codec, closing, push});
+  return {
+    server,
+    writer,
+    open,
+    events,
+    connect: () => connectTo(server.address),
+    until: async count => {
+      while (events.length < count) await sleep(2);
+    },
+  };
+}
+
+async function connectTo(address: string): Promise<CallerSocket> {
+  const socket = connect(splitAddress(address));
+  let text = '';
+  socket.on('data', bytes => (text += bytes.toString('latin1')));
+  socket.on('error', () => undefined);
+  const closed = new Promise<void>(resolve =>
+    socket.on('close', () => resolve()),
+  );
+  await new Promise(resolve => socket.once('connect', resolve));
+  return {
+    socket,
+    text: () => text,
+    sees: async wanted => {
+      while (!text.includes(wanted)) await sleep(2);
+    },
+    closed,
+  };
+}
--- a/packages/gateway/src/mocks/plain_codec.ts
+++ b/packages/gateway/src/mocks/plain_codec.ts
@@ -1,16 +1,11 @@
 import type {StartAttempt} from '@wisterialadder/core/gateway/actions/start_attempt.js';
-import type {CallerHead} from '../callers/caller_head.js';
 import {EndpointCodec} from '../endpoints/endpoint_codec.js';
 import type {ReadAnswer} from '../endpoints/read_answer.js';
 
 /** A codec for tests: `req-id` is echoed, `not-run` says what it says. */
 export class PlainCodec extends EndpointCodec {
-  override headers(
-    _action: StartAttempt,
-    _head: CallerHead,
-    callerId: string,
-  ): string[] {
-    return ['req-id', callerId];
+  override headers(action: StartAttempt): string[] {
+    return ['req-id', action.reqId];
   }
 
   override read(
