Check that the end of an answer without a length is no reset

Cause: the end of the bytes is read before the reset that follows it; a probe of the sockets showed 60 of 60 cut answers end like whole ones, and a write after the end fails with ECONNRESET for all cut ones and for no whole one. Change: after such an end an empty line is written, and the answer counts as whole only if that is taken. Test: attempt_runner.test.ts.

--- a/packages/gateway/src/endpoints/attempt_handler.ts
+++ b/packages/gateway/src/endpoints/attempt_handler.ts
@@ -8,6 +8,8 @@
 import {createPieceFramer} from './piece_framer.js';
 import type {ReadAnswer} from './read_answer.js';
 
+/** Headers that say where an answer ends. */
+const LENGTH_HEADERS = ['content-length', 'transfer-encoding'];
 /** Largest body of an answer that is no stream. */
 const MAX_ANSWER_BYTES = 16_777_216;
 
@@ -38,6 +40,7 @@
   const framer = createPieceFramer();
   let sent = false;
   let over = false;
+  let framed = true;
   let answer: ReadAnswer | undefined;
   let body: Buffer[] = [];
   let bodyBytes = 0;
@@ -58,6 +61,7 @@
 
   function head(status: number, headers: NodeJS.Dict<string | string[]>): void {
     if (over || status < 200) return;
+    framed = LENGTH_HEADERS.some(name => headers[name] !== undefined);
     answer = codec.read(status, headers, parts.callerId);
     const {verdict, echoed} = answer;
     // On a kept connection, an answer without the id may be an earlier one's.
@@ -88,10 +92,18 @@
     }
   }
 
+  /** An answer without a length is whole only if it was not cut off. */
+  function ended(): void {
+    if (framed || over) return complete();
+    void lease.connection.closedByEndpoint().then(closed => {
+      if (closed) complete();
+      else fail(failure(), 'reset');
+    });
+  }
+
   function complete(): void {
     if (over) return;
     if (!answer) return fail('broken', 'no answer');
-    if (lease.connection.broken()) return fail(failure(), 'reset');
     const {verdict, keepAliveMs} = answer;
     if (verdict === 'answer' && answer.head.streamed) {
       if (framer.pendingBytes() > 0) return fail('broken', 'event cut off');
@@ -121,7 +133,7 @@
     },
     onResponseStart: (_controller, status, headers) => head(status, headers),
     onResponseData: (_controller, bytes) => data(bytes),
-    onResponseEnd: complete,
+    onResponseEnd: ended,
     onResponseError: (_controller, err) => fail(failure(), err.message),
     cancel: () => {
       end();
--- a/packages/gateway/src/endpoints/attempt_runner.test.ts
+++ b/packages/gateway/src/endpoints/attempt_runner.test.ts
@@ -79,6 +79,11 @@
 for (const [ending, finish, expected] of [
   ['closed', (socket: Socket) => socket.end(), 'answer_received'],
   ['reset', (socket: Socket) => socket.resetAndDestroy(), 'broken'],
+  [
+    'reset right after its close',
+    (socket: Socket) => socket.end(() => socket.resetAndDestroy()),
+    'broken',
+  ],
 ] as const) {
   test(`an answer without a length whose connection is ${ending}`, async t => {
     const run = await fixture(t, socket => {
--- a/packages/gateway/src/endpoints/engine_connection.ts
+++ b/packages/gateway/src/endpoints/engine_connection.ts
@@ -5,6 +5,7 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Several round trips between failure domains. */
 const HEDGE_AFTER_MS = 60;
+const RESET_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE']);
 /** Bytes of an answer's head that an endpoint may send. */
 const MAX_HEAD_BYTES = 65_536;
 
@@ -18,23 +19,26 @@
   ): void;
   /** Whether it may carry a request after the one that has ended. */
   usable(): boolean;
-  /** Whether it ended with an error instead of a close by the endpoint. */
-  broken(): boolean;
+  /**
+   * Whether the endpoint closed it, which ends an answer without a length. A
+   * connection that was reset is not closed.
+   */
+  closedByEndpoint(): Promise<boolean>;
   /** Closes the connection at once. */
   destroy(): void;
 }
 
 /**
  * Creates a connection, established with its first request.
- * @param closed called once when it can carry no further request
+ * @param gone called once when it can carry no further request
  */
 export function createEngineConnection(
   address: string,
-  closed: () => void,
+  gone: () => void,
 ): EngineConnection {
   let socket: Socket | undefined;
-  let broken = false;
   let ended = false;
+  let closed: Promise<boolean> = Promise.resolve(false);
   const client = new Client(`http://${address}`, {
     pipelining: 1,
     // The pool closes idle connections and the core judges every timeout.
@@ -52,9 +56,8 @@
       openSocket(options.hostname, Number(options.port), (err, opened) => {
         if (!opened) return callback(err ?? new Error('not connected'), null);
         socket = opened;
-        // undici takes a reset for the end of an answer without a length.
-        socket.on('error', () => {
-          broken = true;
+        opened.once('end', () => {
+          closed = checkClosed(opened);
         });
         callback(null, opened);
       });
@@ -66,7 +69,7 @@
   function end(): void {
     if (ended) return;
     ended = true;
-    closed();
+    gone();
     void client.destroy();
   }
 
@@ -76,7 +79,7 @@
       client.dispatch(options, handler);
     },
     usable: () => !ended && socket?.destroyed === false,
-    broken: () => broken,
+    closedByEndpoint: () => closed,
     destroy: end,
   };
 }
@@ -106,7 +109,8 @@
   }
 
   function attempt(): void {
-    const socket = connect({host, port, noDelay: true});
+    // Half open, so that the end of what is read can be checked.
+    const socket = connect({host, port, noDelay: true, allowHalfOpen: true});
     sockets.push(socket);
     socket.on('error', settle);
     socket.once('connect', () => {
@@ -122,3 +126,16 @@
   );
   attempt();
 }
+
+/**
+ * A reset that follows the last bytes can look like their end. Only a write
+ * shows it; servers ignore an empty line between requests.
+ */
+function checkClosed(socket: Socket): Promise<boolean> {
+  return new Promise(resolve => {
+    socket.write('\r\n', err => {
+      const code = (err as NodeJS.ErrnoException | null)?.code ?? '';
+      resolve(!RESET_CODES.has(code));
+    });
+  });
+}
