Let long prompts take turns on engines; price pauses that reading will cause

Cause: an engine reads the newest spread prompt first, so in a burst of long prompts each one delayed those before it, and late ones were read for nothing. Change: a prompt may wait at the gateway until its engines have read what they have to; the plan is told to peers as work that begins later. Reading in turn harms streams that are written by then, and streams keep away from engines with planned reading.

--- a/packages/core/src/engine_model/engine_load.ts
+++ b/packages/core/src/engine_model/engine_load.ts
@@ -8,8 +8,12 @@
   helps: number;
   /** Work that more reading would delay. */
   affected: AffectedWork[];
-  /** Reading that is not done yet. */
+  /** Time until everything is read that has been started. */
   backlogMs: number;
+  /** Time until everything is read that is planned. */
+  freeInMs: number;
+  /** Longest reading that is planned and has not been started. */
+  plannedMs: number;
   /** Streams that it writes. */
   writers: number;
   /** Whether one of its streams must not pause for long. */
--- a/packages/core/src/engine_model/estimate_load.ts
+++ b/packages/core/src/engine_model/estimate_load.ts
@@ -4,7 +4,7 @@
 import type {EngineLoad} from './engine_load.js';
 import {giveUpMs} from './give_up_time.js';
 import {passMs} from './pass_cost.js';
-import {partReadMs} from './read_cost.js';
+import {planReading, type PlannedReading} from './reading_plan.js';
 import {requestValue} from './request_value.js';
 
 /** Streams with a shorter pause keep long prompts away from their engine. */
@@ -21,73 +21,82 @@
   pace: number,
   nowMs: number,
 ): EngineLoad {
-  const affected: AffectedWork[] = [];
-  const reading: Work[] = [];
-  let requests = 0;
-  let helps = 0;
-  let writers = 0;
-  let strict = false;
-  let contextTokens = 0;
-  let heldTokens = 0;
-  for (const work of works) {
-    const {promptTokens, writing, helpers, main, shared, gapMs} = work;
-    const partTokens = promptTokens / (helpers.length + 1);
-    const answers = main === endpoint;
-    const value = requestValue(promptTokens);
-    if (shared) heldTokens += partTokens;
-    if (writing && (answers || shared)) contextTokens += partTokens;
-    if (!writing) {
-      reading.push(work);
-      const patienceMs = giveUpMs(work.dueMs - work.startedMs, gapMs);
-      affected.push({
-        work,
-        value,
-        limitMs: work.dueMs - nowMs,
-        giveUpMs: work.startedMs + patienceMs - nowMs,
-      });
-    }
-    if (!answers) {
-      if (!writing) helps += 1;
-      continue;
-    }
-    requests += 1;
-    heldTokens += work.outputTokens + (shared ? 0 : promptTokens);
-    if (gapMs <= STRICT_GAP_MS) strict = true;
-    if (writing) {
-      writers += 1;
-      affected.push({
-        work,
-        value,
-        limitMs: gapMs,
-        giveUpMs: giveUpMs(0, gapMs),
-      });
-    }
-  }
+  const all = [...works];
+  const own = all.filter(({main}) => main === endpoint);
+  const writing = own.filter(work => work.writing);
+  const reading = all.filter(work => !work.writing);
+  const plan = planReading(profile, reading, pace, nowMs);
+  const begun = plan.filter(({startInMs}) => startInMs === 0);
+  const backlogMs = begun.at(-1)?.finishInMs ?? 0;
+  const basePassMs =
+    passMs(profile, writing.length, contextTokens(endpoint, all)) * pace;
   return {
-    requests,
-    helps,
-    affected,
-    backlogMs: backlogMs(profile, reading, pace, nowMs),
-    writers,
-    strict,
-    passMs: passMs(profile, writers, contextTokens) * pace,
-    heldTokens,
+    requests: own.length,
+    helps: reading.filter(({main}) => main !== endpoint).length,
+    affected: [
+      ...writing.map(work => writer(work, basePassMs + backlogMs)),
+      ...plan.map(item => reader(item, basePassMs, backlogMs, nowMs)),
+    ],
+    backlogMs,
+    freeInMs: plan.at(-1)?.finishInMs ?? 0,
+    plannedMs: longestPlannedMs(plan),
+    writers: writing.length,
+    strict: own.some(({gapMs}) => gapMs <= STRICT_GAP_MS),
+    passMs: basePassMs,
+    heldTokens: all.reduce((sum, work) => sum + held(endpoint, work), 0),
   };
 }
 
-/** Time until all prompts are read. */
-function backlogMs(
-  profile: EngineProfile,
-  reading: Work[],
-  pace: number,
+function longestPlannedMs(plan: PlannedReading[]): number {
+  return plan
+    .filter(({startInMs}) => startInMs > 0)
+    .map(({startInMs, finishInMs}) => finishInMs - startInMs)
+    .reduce((longest, readMs) => Math.max(longest, readMs), 0);
+}
+
+function partTokens({promptTokens, helpers}: Work): number {
+  return promptTokens / (helpers.length + 1);
+}
+
+/** Tokens that a step of the engine looks back at. */
+function contextTokens(endpoint: string, works: Work[]): number {
+  return works
+    .filter(
+      ({writing, shared, main}) => writing && (shared || main === endpoint),
+    )
+    .reduce((sum, work) => sum + partTokens(work), 0);
+}
+
+function held(endpoint: string, work: Work): number {
+  const prompt = work.shared ? partTokens(work) : work.promptTokens;
+  if (work.main === endpoint) return prompt + work.outputTokens;
+  return work.shared ? prompt : 0;
+}
+
+function writer(work: Work, expectedMs: number): AffectedWork {
+  return {
+    work,
+    value: requestValue(work.promptTokens),
+    expectedMs,
+    slackMs: 0,
+    limitMs: work.gapMs,
+    giveUpMs: giveUpMs(0, work.gapMs),
+  };
+}
+
+function reader(
+  {work, startInMs, finishInMs}: PlannedReading,
+  basePassMs: number,
+  backlogMs: number,
   nowMs: number,
-): number {
-  reading.sort((a, b) => a.startedMs - b.startedMs);
-  let freeMs = Number.NEGATIVE_INFINITY;
-  for (const {startedMs, promptTokens, helpers} of reading) {
-    const parts = helpers.length + 1;
-    const readMs = partReadMs(profile, promptTokens, parts) * pace;
-    freeMs = Math.max(freeMs, startedMs) + readMs;
-  }
-  return Math.max(0, freeMs - nowMs);
+): AffectedWork {
+  const patienceMs = giveUpMs(work.dueMs - work.startedMs, work.gapMs);
+  return {
+    work,
+    value: requestValue(work.promptTokens),
+    expectedMs: finishInMs + basePassMs,
+    slackMs: Math.max(0, startInMs - backlogMs),
+    limitMs: work.dueMs - nowMs,
+    giveUpMs: work.startedMs + patienceMs - nowMs,
+  };
 }
--- a/packages/core/src/forwarding/admission.ts
+++ b/packages/core/src/forwarding/admission.ts
@@ -35,6 +35,7 @@
     history: createAttemptHistory(),
     attempts: 0,
     current: undefined,
+    planned: undefined,
     failedAt: new Set(),
     refusedRounds: 0,
     lastPiece: arrived.resumeAfter,
--- a/packages/core/src/forwarding/forwarded_request.ts
+++ b/packages/core/src/forwarding/forwarded_request.ts
@@ -3,6 +3,7 @@
 import type {RequestArrived} from '../gateway/events/request_arrived.js';
 import type {AttemptHistory} from '../requests/attempt_history.js';
 import type {CurrentAttempt} from './current_attempt.js';
+import type {PlannedStart} from './planned_start.js';
 
 /** A request that was admitted and has no final answer yet. */
 export interface ForwardedRequest {
@@ -21,6 +22,7 @@
   /** Number of the newest attempt; 0 before the first. */
   attempts: number;
   current: CurrentAttempt | undefined;
+  planned: PlannedStart | undefined;
   /** Endpoints that failed this request. */
   failedAt: Set<string>;
   /** Times that engines would not set memory aside for it. */
--- a/packages/core/src/forwarding/forwarding.ts
+++ b/packages/core/src/forwarding/forwarding.ts
@@ -1,6 +1,7 @@
 import type {PublishedConfiguration} from '../configuration/published_configuration.js';
 import type {EndpointHealth} from '../endpoint_health/endpoint_health.js';
 import type {FleetGossip} from '../fleet/fleet_gossip.js';
+import type {Work} from '../fleet/work.js';
 import type {FleetMembers} from '../fleet/fleet_members.js';
 import type {AnswerReceived} from '../gateway/events/answer_received.js';
 import type {AttemptFailed} from '../gateway/events/attempt_failed.js';
@@ -32,6 +33,11 @@
 const SERVER_ERROR_STATUS = 500;
 /** Pieces of a stream from which the pace of an engine is taken. */
 const PIECES_PER_PACE = 6;
+/** A shorter wait for engines is not worth it. */
+const LEAST_WAIT_MS = 15;
+/** A planned start is put off this often if its engines take longer. */
+const MAX_DELAYS = 6;
+const LONGEST_DELAY_MS = 150;
 /** Sets of engines that are asked to set memory aside for one request. */
 const MAX_MEMORY_ROUNDS = 4;
 
@@ -89,8 +95,55 @@
     const {service, failedAt} = req;
     const choice = selection.select(nowMs, service, wanted, failedAt, random);
     if (!choice) return giveUp(ctx, req, 'overloaded');
-    if (choice.helperTokens > 0) tickets.begin(ctx, req.reqId, choice);
-    else start(ctx, req, choice, '');
+    if (choice.startInMs >= LEAST_WAIT_MS) return plan(ctx, req, choice);
+    begin(ctx, req, choice);
+  }
+
+  /** Takes a turn on engines that read other prompts first. */
+  function plan(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    choice: EndpointChoice,
+  ): void {
+    const startMs = ctx.nowMs + choice.startInMs;
+    const work = tellWork(ctx, req, choice, startMs);
+    req.planned = {choice, startMs, work, delays: 0};
+    logRoute(ctx, req, choice, 'WL8305');
+  }
+
+  function startPlanned(ctx: GatewayContext, req: ForwardedRequest): void {
+    const {planned} = req;
+    if (!planned || ctx.nowMs < planned.startMs) return;
+    const {choice} = planned;
+    if (!selection.usable(ctx.nowMs, req.service, choice)) {
+      dropPlan(req);
+      return dispatch(ctx, req);
+    }
+    const {nowMs} = ctx;
+    const own = planned.work;
+    const busyMs = selection.busyMs(nowMs, req.service, choice, own);
+    if (busyMs >= LEAST_WAIT_MS && planned.delays < MAX_DELAYS) {
+      planned.delays += 1;
+      planned.startMs = ctx.nowMs + Math.min(busyMs, LONGEST_DELAY_MS);
+      return;
+    }
+    begin(ctx, req, choice);
+  }
+
+  function dropPlan(req: ForwardedRequest): void {
+    if (req.planned) gossip.ended(req.planned.work.work);
+    req.planned = undefined;
+  }
+
+  function begin(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    choice: EndpointChoice,
+  ): void {
+    if (choice.helperTokens > 0) {
+      if (req.planned) req.planned.startMs = Number.POSITIVE_INFINITY;
+      tickets.begin(ctx, req.reqId, choice);
+    } else start(ctx, req, choice, '');
   }
 
   function memoryReady(
@@ -110,6 +163,7 @@
   ): void {
     const req = requests.get(reqId);
     if (!req) return;
+    dropPlan(req);
     req.failedAt.add(engine);
     req.refusedRounds += 1;
     if (req.refusedRounds >= MAX_MEMORY_ROUNDS) giveUp(ctx, req, 'overloaded');
@@ -123,23 +177,38 @@
     ticket: string,
   ): void {
     const {nowMs} = ctx;
-    works += 1;
+    const work = req.planned?.work ?? tellWork(ctx, req, choice, nowMs);
+    req.planned = undefined;
     req.attempts += 1;
     req.history.started();
     req.current = {
       attempt: req.attempts,
       choice,
-      work: works,
+      work: work.work,
       startedMs: nowMs,
       progressMs: nowMs,
       shortestGapMs: Number.POSITIVE_INFINITY,
       pieces: 0,
     };
+    ctx.emit(
+      startAttemptOf(req, choice, ticket, maxConnections(nowMs, req), nowMs),
+    );
+    logRoute(ctx, req, choice, 'WL8301');
+  }
+
+  /** Tells peers of work that is or will be sent to endpoints. */
+  function tellWork(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    choice: EndpointChoice,
+    startedMs: number,
+  ): Work {
+    works += 1;
     const {promptTokens, outputTokens, dueInMs, gapMs} = choiceRequestOf(
       req,
-      nowMs,
+      ctx.nowMs,
     );
-    gossip.started({
+    const work: Work = {
       member: parts.self,
       work: works,
       main: choice.main.id,
@@ -147,17 +216,25 @@
       shared: choice.helperTokens > 0,
       promptTokens,
       outputTokens,
-      dueMs: nowMs + dueInMs,
+      dueMs: ctx.nowMs + dueInMs,
       gapMs,
-      startedMs: nowMs,
+      startedMs,
       writing: false,
-    });
-    ctx.emit(
-      startAttemptOf(req, choice, ticket, maxConnections(nowMs, req), nowMs),
-    );
+    };
+    gossip.started(work);
+    return work;
+  }
+
+  function logRoute(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    choice: EndpointChoice,
+    event: 'WL8301' | 'WL8305',
+  ): void {
+    const {promptTokens, dueInMs} = choiceRequestOf(req, ctx.nowMs);
     ctx.emit({
       kind: 'write_log',
-      event: 'WL8301',
+      event,
       fields: {
         reqId: req.reqId,
         route: req.route.name,
@@ -167,6 +244,7 @@
         helperIds: choice.helpers.map(({id}) => id).join(' '),
         promptTokens,
         dueInMs: Math.round(dueInMs),
+        startInMs: choice.startInMs,
         expectedMs: choice.expectedMs,
         loss: choice.loss,
         version: configuration.version(),
@@ -209,7 +287,7 @@
     current.pieces += 1;
     req.lastPiece = event.piece;
     notePace(req, ctx.nowMs);
-    begin(ctx, req, event.attempt);
+    beginStream(ctx, req, event.attempt);
     ctx.emit({kind: 'deliver_piece', reqId: req.reqId, payload: event.payload});
   }
 
@@ -227,7 +305,7 @@
     current.shortestGapMs = Number.POSITIVE_INFINITY;
   }
 
-  function begin(
+  function beginStream(
     ctx: GatewayContext,
     req: ForwardedRequest,
     attempt: number,
@@ -249,7 +327,7 @@
     if (!found) return;
     const {req, current} = found;
     health.succeeded(current.choice.main.id);
-    begin(ctx, req, event.attempt);
+    beginStream(ctx, req, event.attempt);
     ctx.emit({kind: 'end_stream', reqId: req.reqId});
     finish(ctx, req, 'completed', '');
   }
@@ -352,6 +430,7 @@
     detail: string,
   ): void {
     if (req.current) gossip.ended(req.current.work);
+    dropPlan(req);
     tickets.release(ctx, req.reqId);
     requests.delete(req.reqId);
     reportEnd(ctx, req, outcome, detail);
@@ -373,6 +452,7 @@
   function expire(ctx: GatewayContext): void {
     for (const req of [...requests.values()]) {
       if (ctx.nowMs >= req.deadlineMs) timedOut(ctx, req);
+      else if (req.planned) startPlanned(ctx, req);
       else checkSilence(ctx, req);
     }
   }
--- a/packages/core/src/shared/log_events.ts
+++ b/packages/core/src/shared/log_events.ts
@@ -196,6 +196,11 @@
     text: 'request not sent again',
     action: 'None; the denial says why.',
   },
+  WL8305: {
+    level: 'info',
+    text: 'request waits for its engines',
+    action: 'None; shows when it is to be sent and where.',
+  },
   WL8401: {
     level: 'warn',
     text: 'memory of an engine not set aside',
--- a/packages/core/src/spread/endpoint_choice.ts
+++ b/packages/core/src/spread/endpoint_choice.ts
@@ -8,6 +8,8 @@
   helpers: EndpointEntry[];
   /** Tokens of the prompt that each helper stores; 0 if the main one does. */
   helperTokens: number;
+  /** Time to wait until it is sent, in milliseconds. */
+  startInMs: number;
   /** Expected time to the first piece, or to the answer, in milliseconds. */
   expectedMs: number;
   /** Pause between two pieces of a sound engine; 0 for no stream. */
--- a/packages/core/src/spread/endpoint_selection.ts
+++ b/packages/core/src/spread/endpoint_selection.ts
@@ -3,6 +3,7 @@
 import type {EndpointHealth} from '../endpoint_health/endpoint_health.js';
 import {estimateLoad} from '../engine_model/estimate_load.js';
 import {partReadMs} from '../engine_model/read_cost.js';
+import type {Work} from '../fleet/work.js';
 import type {WorkBoard} from '../fleet/work_board.js';
 import type {EndpointEntry} from '../registry/endpoint_entry.js';
 import type {EndpointRegistry} from '../registry/endpoint_registry.js';
@@ -23,6 +24,18 @@
     avoid: ReadonlySet<string>,
     random: RandomSource,
   ): EndpointChoice | undefined;
+  /** Whether all endpoints of a choice may still take work. */
+  usable(nowMs: number, service: string, choice: EndpointChoice): boolean;
+  /**
+   * Time until engines of a choice have read what they have begun.
+   * @param own the work that the choice is for, which does not count
+   */
+  busyMs(
+    nowMs: number,
+    service: string,
+    choice: EndpointChoice,
+    own: Work | undefined,
+  ): number;
   /**
    * Time that an engine needs for all prompts that it reads now, however much
    * of them it has read.
@@ -82,7 +95,30 @@
     return sumMs * health.pace(endpoint);
   }
 
+  function busyMs(
+    nowMs: number,
+    service: string,
+    {main, helpers}: EndpointChoice,
+    own: Work | undefined,
+  ): number {
+    const profile = configuration.service(service)?.engine;
+    if (!profile) return 0;
+    const waits = [main, ...helpers].map(({id}) => {
+      const works = [...board.of(id)].filter(work => work !== own);
+      const pace = health.pace(id);
+      return estimateLoad(id, profile, works, pace, nowMs).backlogMs;
+    });
+    return Math.max(...waits);
+  }
+
   return {
+    usable: (nowMs, service, {main, helpers}) => {
+      const ids = new Set(registry.usable(service).map(({id}) => id));
+      return [main, ...helpers].every(
+        ({id}) => ids.has(id) && !health.aside(id, nowMs),
+      );
+    },
+    busyMs,
     readingMs,
     select: (nowMs, service, req, avoid, random) => {
       const spec = configuration.service(service);
--- a/packages/core/src/spread/least_loss.ts
+++ b/packages/core/src/spread/least_loss.ts
@@ -1,4 +1,5 @@
 import type {EngineProfile} from '../configuration/engine_profile.js';
+import type {AffectedWork} from '../engine_model/affected_work.js';
 import type {EngineLoad} from '../engine_model/engine_load.js';
 import {STRICT_GAP_MS} from '../engine_model/estimate_load.js';
 import {giveUpMs} from '../engine_model/give_up_time.js';
@@ -14,9 +15,14 @@
 import type {EndpointChoice} from './endpoint_choice.js';
 import {EndpointChooser} from './endpoint_chooser.js';
 import type {PricedPart} from './priced_part.js';
+import type {SpreadPlan} from './spread_plan.js';
 
 /** Engines that share the reading of a prompt. */
 const WIDTHS = [1, 2, 3, 4, 6, 8, 10, 12, 14, 16];
+/** Ways to take turns with prompts that engines read already. */
+const TURNS = ['at_once', 'in_turn'] as const;
+/** Prompts whose parts take less to read gain nothing from more helpers. */
+const LEAST_PART_MS = 10;
 /** Share of a request's worth that is lost if it is late. */
 const LATE_SHARE = 0.75;
 /** Worth of a second, to prefer what is faster among what is in time. */
@@ -36,6 +42,8 @@
 const SLOT_WAIT_MS = 300;
 /** Worth of the messages and waits that each helper adds. */
 const LOSS_PER_HELPER = 0.004;
+/** The rest of the pass that is on, and the pass that writes the piece. */
+const PASSES_TO_FIRST_PIECE = 1.4;
 /** Time on the network to an engine and back. */
 const NETWORK_MS = 8;
 
@@ -73,10 +81,15 @@
     for (const width of WIDTHS) {
       if (width > candidates.length) break;
       if (shared && width === 1) continue;
-      const choice = this.spread(req, candidates, width, shared, random);
-      if (choice && (!best || choice.loss < best.loss)) best = choice;
-      // Short prompts gain nothing from helpers.
-      if (this.readMs(req, width) < this.profile.chunkTokens / 200) break;
+      const readMs = this.readMs(req, width);
+      for (const turn of TURNS) {
+        // Alone, a prompt waits for its turn at the engine itself.
+        if (turn === 'in_turn' && width === 1) continue;
+        const plan = {width, shared, readMs, turn};
+        const choice = this.spread(req, candidates, plan, random);
+        if (choice && (!best || choice.loss < best.loss)) best = choice;
+      }
+      if (readMs < LEAST_PART_MS) break;
     }
     return best;
   }
@@ -88,51 +101,45 @@
   private spread(
     req: ChoiceRequest,
     candidates: EndpointCandidate[],
-    width: number,
-    shared: boolean,
+    plan: SpreadPlan,
     random: RandomSource,
   ): EndpointChoice | undefined {
-    const readMs = this.readMs(req, width);
+    const {width, shared} = plan;
     const helperTokens = shared ? Math.ceil(req.promptTokens / width) : 0;
     const mainTokens =
       req.outputTokens + (shared ? helperTokens : req.promptTokens);
     const parts = candidates.flatMap(({entry, load}) =>
-      load ? [this.price(entry, load, readMs, width > 1)] : [],
+      load ? [this.price(entry, load, plan)] : [],
+    );
+    const main = this.bestMain(
+      req,
+      parts.filter(({load}) => this.hasRoom(load, mainTokens)),
+      random,
     );
-    const mains = parts
-      .filter(part => this.hasRoom(part.load, mainTokens))
-      .map(part => ({
-        part,
-        loss:
-          part.harm +
-          this.mainLoss(req, part) +
-          this.ownLoss(req, part.readyMs + this.tailMs(part.load)),
-      }))
-      .sort((a, b) => a.loss - b.loss || random() - 0.5);
-    const main = mains[0];
     if (!main) return undefined;
     const helpers = parts
-      .filter(
-        part => part !== main.part && part.load.helps < this.profile.slots,
-      )
+      .filter(part => part !== main && part.load.helps < this.profile.slots)
       .filter(part => this.hasRoom(part.load, helperTokens))
-      .sort((a, b) => a.harm - b.harm || a.readyMs - b.readyMs)
+      .sort((a, b) => partLoss(a) - partLoss(b) || a.readyMs - b.readyMs)
       .slice(0, width - 1);
     if (helpers.length < width - 1) return undefined;
+    const chosen = [main, ...helpers];
+    const startInMs = Math.max(...chosen.map(part => part.startInMs));
+    // What waits for the last engine is read at once on the others.
     const readyMs = Math.max(
-      main.part.readyMs,
-      ...helpers.map(part => part.readyMs),
+      ...chosen.map(part => part.readyMs - part.startInMs + startInMs),
     );
-    const expectedMs = readyMs + this.tailMs(main.part.load) + NETWORK_MS;
+    const expectedMs = readyMs + this.tailMs(main) + NETWORK_MS;
     const loss =
-      totalHarm([main.part, ...helpers]) +
-      this.mainLoss(req, main.part) +
+      totalHarm(chosen) +
+      this.mainLoss(req, main) +
       this.ownLoss(req, expectedMs) +
       helpers.length * LOSS_PER_HELPER;
     return {
-      main: main.part.entry,
+      main: main.entry,
       helpers: helpers.map(({entry}) => entry),
       helperTokens,
+      startInMs: Math.round(startInMs),
       expectedMs: Math.round(expectedMs),
       usualGapMs: passMs(this.profile, 1, req.promptTokens / width),
       loss: Math.round(loss * 1_000) / 1_000,
@@ -140,37 +147,63 @@
     };
   }
 
+  private bestMain(
+    req: ChoiceRequest,
+    parts: PricedPart[],
+    random: RandomSource,
+  ): PricedPart | undefined {
+    return parts
+      .map(part => ({
+        part,
+        loss:
+          part.harm +
+          this.mainLoss(req, part) +
+          this.ownLoss(req, part.readyMs + this.tailMs(part)),
+      }))
+      .sort((a, b) => a.loss - b.loss || random() - 0.5)[0]?.part;
+  }
+
   private price(
     entry: EndpointEntry,
     load: EngineLoad,
-    readMs: number,
-    helped: boolean,
+    {readMs, turn, width}: SpreadPlan,
   ): PricedPart {
-    const queuedMs = load.backlogMs + load.passMs;
+    const startInMs = turn === 'in_turn' ? load.freeInMs : 0;
     const harms = new Map<Work, number>();
     let harm = 0;
-    for (const {work, value, limitMs, giveUpMs} of load.affected) {
-      const late = addedLateness(queuedMs, readMs, limitMs);
-      const lost = addedLateness(queuedMs, readMs, giveUpMs);
-      const share = LATE_SHARE * late + (1 - LATE_SHARE) * lost;
-      const loss = value * (share + delayLoss(work, readMs));
-      harms.set(work, loss);
+    for (const affected of load.affected) {
+      const loss =
+        turn === 'at_once' || affected.work.writing
+          ? delayLoss(affected, readMs)
+          : this.pauseHarm(entry, load, affected, readMs);
+      harms.set(affected.work, loss);
       harm += loss;
     }
-    const boundaryMs = load.writers > 0 ? load.passMs : 0;
     // Parts of a spread prompt are read before everything else.
-    const waitMs = helped ? 0 : load.backlogMs;
+    const waitMs = width > 1 ? startInMs : load.backlogMs;
     const over = Math.max(0, load.requests + 1 - this.profile.slots);
-    const readyMs = waitMs + boundaryMs + readMs + over * SLOT_WAIT_MS;
-    return {entry, load, harms, harm, readyMs};
+    const readyMs = waitMs + readMs + over * SLOT_WAIT_MS;
+    return {entry, load, harms, harm, startInMs, readyMs};
+  }
+
+  /** Loss of a work that is written by the time that more is read. */
+  private pauseHarm(
+    entry: EndpointEntry,
+    load: EngineLoad,
+    {work, value}: AffectedWork,
+    readMs: number,
+  ): number {
+    if (work.main !== entry.id) return 0;
+    const late = addedLateness(load.passMs, readMs, work.gapMs);
+    const lost = addedLateness(load.passMs, readMs, giveUpMs(0, work.gapMs));
+    return value * (LATE_SHARE * late + (1 - LATE_SHARE) * lost);
   }
 
   /** Time from the end of reading to the first piece. */
-  private tailMs(load: EngineLoad): number {
-    // The pass that is on when the last part is read ends first.
-    const busy = load.writers > 0;
-    const restMs = busy ? (load.passMs + load.backlogMs) / 2 : 0;
-    return restMs + load.passMs;
+  private tailMs({load, startInMs}: PricedPart): number {
+    if (load.writers > 0) return load.passMs * PASSES_TO_FIRST_PIECE;
+    // Whatever is read before has become a stream that a pass writes.
+    return load.backlogMs > startInMs ? load.passMs : 0;
   }
 
   private mainLoss(req: ChoiceRequest, {entry, load}: PricedPart): number {
@@ -180,7 +213,6 @@
     return (
       (far ? bytes * LOSS_PER_FAR_BYTE : 0) +
       (strict && !load.strict ? FREE_ENGINE_VALUE : 0) +
-      // Reading that is queued stretches the pauses of a stream that joins.
       this.pauseLoss(req, load)
     );
   }
@@ -196,8 +228,9 @@
     );
   }
 
+  /** Loss of a stream that joins the engine by pauses between its pieces. */
   private pauseLoss(req: ChoiceRequest, load: EngineLoad): number {
-    const ms = passMs(this.profile, load.writers + 1, 0);
+    const ms = passMs(this.profile, load.writers + 1, 0) + load.plannedMs;
     const value = requestValue(req.promptTokens);
     return LATE_SHARE * value * lateness(ms, req.gapMs);
   }
@@ -207,16 +240,29 @@
   }
 }
 
+/** Orders engines by what a part costs there, waiting included. */
+function partLoss({harm, startInMs}: PricedPart): number {
+  return harm + (startInMs / 1_000) * LOSS_PER_SECOND;
+}
+
+/** Loss of a work whose next piece is delayed by so much more reading. */
+function delayLoss(affected: AffectedWork, readMs: number): number {
+  const {work, value, expectedMs, slackMs, limitMs, giveUpMs: lost} = affected;
+  const delayMs = Math.max(0, readMs - slackMs);
+  const late = addedLateness(expectedMs, delayMs, limitMs);
+  const givenUp = addedLateness(expectedMs, delayMs, lost);
+  const waiting = work.writing
+    ? 0
+    : (delayMs / 1_000) * READ_DELAY_LOSS_PER_SECOND;
+  const share = LATE_SHARE * late + (1 - LATE_SHARE) * givenUp + waiting;
+  return value * share;
+}
+
 /** How much likelier a delay makes it that a limit is missed. */
 function addedLateness(ms: number, delayMs: number, limitMs: number): number {
   return lateness(ms + delayMs, limitMs) - lateness(ms, limitMs);
 }
 
-/** A prompt that is being read loses worth with each second of delay. */
-function delayLoss(work: Work, delayMs: number): number {
-  return work.writing ? 0 : (delayMs / 1_000) * READ_DELAY_LOSS_PER_SECOND;
-}
-
 /** Work that several parts delay is delayed once. */
 function totalHarm(parts: PricedPart[]): number {
   const worst = new Map<Work, number>();
--- a/packages/core/src/spread/least_work.ts
+++ b/packages/core/src/spread/least_work.ts
@@ -32,6 +32,7 @@
       main: best.entry,
       helpers: [],
       helperTokens: 0,
+      startInMs: 0,
       expectedMs: 0,
       usualGapMs: 0,
       loss: 0,
--- a/packages/core/src/spread/priced_part.ts
+++ b/packages/core/src/spread/priced_part.ts
@@ -10,6 +10,8 @@
   harms: Map<Work, number>;
   /** Sum of these losses. */
   harm: number;
-  /** Time until the part is read, in milliseconds. */
+  /** Time to wait before the part is sent, in milliseconds. */
+  startInMs: number;
+  /** Time until the part is read if it is sent then. */
   readyMs: number;
 }
--- a/packages/gateway/src/peers/datagram_codec.ts
+++ b/packages/gateway/src/peers/datagram_codec.ts
@@ -55,7 +55,7 @@
   return {
     ...notice,
     dueInMs: Math.round(notice.dueInMs),
-    ageMs: Math.max(0, Math.round(notice.ageMs)),
+    ageMs: Math.round(notice.ageMs),
   };
 }
 
