--- a/packages/core/src/endpoint_health/endpoint_health.ts
+++ b/packages/core/src/endpoint_health/endpoint_health.ts
@@ -1,4 +1,5 @@
 import type {GatewayContext} from '../gateway/gateway_context.js';
+import type {HealthStanding} from './health_standing.js';
 
 /** First time that a failing endpoint gets no work; doubles each time. */
 const FIRST_PAUSE_MS = 400;
@@ -19,24 +20,20 @@
   observed(endpoint: string, pauseMs: number, usualMs: number): void;
   /** How many times slower than its profile the endpoint is. */
   pace(endpoint: string): number;
+  /** Everything that is known of an endpoint's answers. */
+  standing(endpoint: string): HealthStanding;
   /** Forgets endpoints that are not in the set. */
   keep(endpoints: ReadonlySet<string>): void;
 }
 
-interface Standing {
-  failures: number;
-  asideUntilMs: number;
-  pace: number;
-}
-
 /** Creates the health of endpoints of which nothing is known. */
 export function createEndpointHealth(): EndpointHealth {
-  const standings = new Map<string, Standing>();
+  const standings = new Map<string, HealthStanding>();
 
-  function of(endpoint: string): Standing {
+  function of(endpoint: string): HealthStanding {
     let standing = standings.get(endpoint);
     if (!standing) {
-      standing = {failures: 0, asideUntilMs: 0, pace: 1};
+      standing = {failures: 0, lastFailure: '', asideUntilMs: 0, pace: 1};
       standings.set(endpoint, standing);
     }
     return standing;
@@ -45,6 +42,7 @@
   function failed(ctx: GatewayContext, endpoint: string, reason: string): void {
     const standing = of(endpoint);
     standing.failures += 1;
+    standing.lastFailure = reason;
     const pauseMs = Math.min(
       LONGEST_PAUSE_MS,
       FIRST_PAUSE_MS * 2 ** (standing.failures - 1),
@@ -74,6 +72,7 @@
       (standings.get(endpoint)?.asideUntilMs ?? 0) > nowMs,
     observed,
     pace: endpoint => standings.get(endpoint)?.pace ?? 1,
+    standing: of,
     keep: endpoints => {
       for (const endpoint of standings.keys()) {
         if (!endpoints.has(endpoint)) standings.delete(endpoint);
--- /dev/null
+++ b/packages/core/src/gateway/describe_gateway.ts
@@ -0,0 +1,86 @@
+import type {PublishedConfiguration} from '../configuration/published_configuration.js';
+import type {EndpointHealth} from '../endpoint_health/endpoint_health.js';
+import type {FleetMembers} from '../fleet/fleet_members.js';
+import type {WorkBoard} from '../fleet/work_board.js';
+import type {RetryAllowance} from '../forwarding/retry_allowance.js';
+import type {EndpointRegistry} from '../registry/endpoint_registry.js';
+import type {EndpointSelection} from '../spread/endpoint_selection.js';
+import type {EndpointStatus} from './endpoint_status.js';
+import type {GatewayStatus} from './gateway_status.js';
+import type {MemberStatusLine} from './member_status_line.js';
+
+/** Parts of a gateway that know something. */
+export interface DescribedParts {
+  address: string;
+  configuration: PublishedConfiguration;
+  registry: EndpointRegistry;
+  health: EndpointHealth;
+  members: FleetMembers;
+  board: WorkBoard;
+  selection: EndpointSelection;
+  allowance: RetryAllowance;
+  stage(): string;
+  inFlight(): number;
+  storeReachable(): boolean;
+  knowledgeAgeMs(nowMs: number): number;
+}
+
+/** Collects what a gateway believes at a time. */
+export function describeGateway(
+  parts: DescribedParts,
+  nowMs: number,
+): GatewayStatus {
+  const {configuration, members, allowance} = parts;
+  const ageMs = parts.knowledgeAgeMs(nowMs);
+  const gateways = members.size(nowMs);
+  const services = configuration.current()?.services ?? [];
+  return {
+    address: parts.address,
+    stage: parts.stage(),
+    configurationVersion: configuration.version(),
+    knowledgeAgeMs: ageMs === Infinity ? -1 : Math.round(ageMs),
+    storeReachable: parts.storeReachable(),
+    inFlight: parts.inFlight(),
+    members: memberLines(members, nowMs),
+    endpoints: endpointLines(parts, nowMs),
+    repeatsLeft: Object.fromEntries(
+      services.map(({name}) => [
+        name,
+        Math.floor(allowance.left(nowMs, name, gateways)),
+      ]),
+    ),
+  };
+}
+
+function memberLines(members: FleetMembers, nowMs: number): MemberStatusLine[] {
+  const alive = new Set(members.alive(nowMs));
+  return [...members.all()].map(member => ({
+    address: member.address,
+    failureDomain: member.failureDomain,
+    alive: alive.has(member),
+    silentMs:
+      member.heardMs === undefined ? -1 : Math.round(nowMs - member.heardMs),
+    storeReachable: member.storeReachable,
+    draining: member.draining,
+  }));
+}
+
+function endpointLines(parts: DescribedParts, nowMs: number): EndpointStatus[] {
+  const {registry, health, board, selection} = parts;
+  return registry.entries().map(({id, service, address, failureDomain}) => {
+    const {failures, lastFailure, asideUntilMs, pace} = health.standing(id);
+    return {
+      id,
+      service,
+      address,
+      failureDomain,
+      standing: registry.get(id)?.standing ?? 'gone',
+      asideMs: Math.max(0, Math.round(asideUntilMs - nowMs)),
+      failures,
+      lastFailure,
+      pace: Math.round(pace * 100) / 100,
+      inFlight: [...board.of(id)].length,
+      readingMs: Math.round(selection.readingMs(service, id)),
+    };
+  });
+}
--- a/packages/core/src/gateway/gateway_node.ts
+++ b/packages/core/src/gateway/gateway_node.ts
@@ -16,13 +16,19 @@
 import type {GatewayEvent} from './events/gateway_event.js';
 import type {GatewayConfig} from './gateway_config.js';
 import type {GatewayContext} from './gateway_context.js';
+import {describeGateway} from './describe_gateway.js';
 import type {GatewayFeature} from './gateway_feature.js';
+import type {GatewayStatus} from './gateway_status.js';
 import {createGatewayReadiness} from './gateway_readiness.js';
 
 /** A gateway's decisions: requests, endpoints, store and peers. */
-export function createGatewayNode(
-  cfg: GatewayConfig,
-): DecisionNode<GatewayEvent, GatewayAction> {
+export interface GatewayNode extends DecisionNode<GatewayEvent, GatewayAction> {
+  /** What the gateway believes at a time of the steady clock. */
+  status(nowMs: number): GatewayStatus;
+}
+
+/** Creates the decisions of a gateway that knows nothing yet. */
+export function createGatewayNode(cfg: GatewayConfig): GatewayNode {
   let settings = cfg;
   const configuration = createPublishedConfiguration();
   const registry = createEndpointRegistry();
@@ -53,25 +59,27 @@
     storeReachable: () => store.reachable(),
     draining: () => drain.stage() !== 'running',
   });
+  const selection = createEndpointSelection({
+    failureDomain: cfg.failureDomain,
+    configuration,
+    registry,
+    health,
+    board,
+  });
+  const allowance = createRetryAllowance(() => ({
+    ratio: settings.retryRatio,
+    extra: settings.retryExtra,
+    windowMs: settings.retryWindowMs,
+  }));
   const forwarding = createForwarding({
     self: cfg.address,
     incarnation: cfg.incarnation,
     configuration,
-    selection: createEndpointSelection({
-      failureDomain: cfg.failureDomain,
-      configuration,
-      registry,
-      health,
-      board,
-    }),
+    selection,
     health,
     members,
     gossip,
-    allowance: createRetryAllowance(() => ({
-      ratio: settings.retryRatio,
-      extra: settings.retryExtra,
-      windowMs: settings.retryWindowMs,
-    })),
+    allowance,
     endpointNamed: name =>
       registry
         .entries()
@@ -116,11 +124,33 @@
     settle: ctx => drain.advance(ctx, forwarding.inFlight()),
   };
 
-  return runFeatures<GatewayEvent, GatewayAction>([
+  const {step} = runFeatures<GatewayEvent, GatewayAction>([
     store,
     gossip,
     forwarding,
     shutdown,
     createGatewayReadiness(store, drain),
   ]);
+
+  return {
+    step,
+    status: nowMs =>
+      describeGateway(
+        {
+          address: cfg.address,
+          configuration,
+          registry,
+          health,
+          members,
+          board,
+          selection,
+          allowance,
+          stage: drain.stage,
+          inFlight: forwarding.inFlight,
+          storeReachable: store.reachable,
+          knowledgeAgeMs: store.ageMs,
+        },
+        nowMs,
+      ),
+  };
 }
--- /dev/null
+++ b/packages/core/src/gateway/gateway_status.ts
@@ -0,0 +1,18 @@
+import type {EndpointStatus} from './endpoint_status.js';
+import type {MemberStatusLine} from './member_status_line.js';
+
+/** What a gateway believes, for the people who run it. */
+export interface GatewayStatus {
+  /** Peer address, `IP:PORT`. */
+  address: string;
+  stage: string;
+  configurationVersion: number;
+  /** Age of what is known of configuration and endpoints; -1 if nothing is. */
+  knowledgeAgeMs: number;
+  storeReachable: boolean;
+  inFlight: number;
+  members: MemberStatusLine[];
+  endpoints: EndpointStatus[];
+  /** Repeats that are left to this gateway, by service. */
+  repeatsLeft: Record<string, number>;
+}
--- a/packages/core/src/shared/log_events.ts
+++ b/packages/core/src/shared/log_events.ts
@@ -236,4 +236,9 @@
     text: 'settings read again',
     action: 'If they were not taken, mend the problems that are named.',
   },
+  WL9007: {
+    level: 'warn',
+    text: 'log lines dropped',
+    action: 'More lines than the bounded rate, or the reader is too slow.',
+  },
 } as const;
--- a/packages/gateway/src/gateway_program.ts
+++ b/packages/gateway/src/gateway_program.ts
@@ -1,3 +1,4 @@
+import {performance} from 'node:perf_hooks';
 import {never} from 'most';
 import type {GatewayAction} from '@wisterialadder/core/gateway/actions/gateway_action.js';
 import type {GatewayEvent} from '@wisterialadder/core/gateway/events/gateway_event.js';
@@ -24,12 +25,16 @@
 import type {GatewayPorts} from './gateway_ports.js';
 import {openPeerLink} from './peers/peer_link.js';
 import {probeRoutes} from './probe_routes.js';
+import {statusRoute} from './status_route.js';
 import {GATEWAY_SETTINGS} from './settings.js';
 import {createStoreAdapter} from './store/store_adapter.js';
 
 /** Each wake-up costs processor time, which is scarce on entry VMs. */
 const TICK_INTERVAL_MS = 25;
 
+/** The delay of the event loop is sampled this often. */
+const EVENT_LOOP_PRECISION_MS = 500;
+
 type GatewaySettings = typeof GATEWAY_SETTINGS;
 
 /** Creates `wl-gateway` for a platform. */
@@ -52,7 +57,7 @@
   const onError = logError(logger);
   const source = createEventSource<GatewayEvent>();
   const push = (event: GatewayEvent): boolean => source.push(event);
-  const metrics = createMetrics();
+  const metrics = createMetrics(EVENT_LOOP_PRECISION_MS);
   const readiness: Readiness = {ready: false, reason: 'starting'};
   const open: OpenRequests = new Map();
   const incarnation = Date.now();
@@ -100,8 +105,12 @@
       onError,
     ),
   );
+  const node = createGatewayNode(
+    gatewayConfigOf(cfg, peers.address, incarnation),
+  );
+  const status = statusRoute(() => node.status(performance.now()));
   const ops = store.add(
-    await startOpsServer(cfg.ops.listen, metrics, readiness, onError),
+    await startOpsServer(cfg.ops.listen, metrics, readiness, onError, [status]),
   );
 
   const handlers: ActionHandlers = {
@@ -141,7 +150,7 @@
     push({kind: 'settings_changed', cfg: changed});
   });
   const loop = runLoop<GatewayEvent, GatewayAction>({
-    node: createGatewayNode(gatewayConfigOf(cfg, peers.address, incarnation)),
+    node,
     sources: [source.stream],
     tick: {kind: 'tick'},
     tickIntervalMs: TICK_INTERVAL_MS,
--- a/packages/runtime/src/logging/logger.ts
+++ b/packages/runtime/src/logging/logger.ts
@@ -3,6 +3,7 @@
 import {LOG_EVENTS} from '@wisterialadder/core/shared/log_events.js';
 import type {LogEventId} from '@wisterialadder/core/shared/log_event_id.js';
 import type {LogFields} from './log_fields.js';
+import {PROCESS_LOG} from './process_log.js';
 
 /** Writes numbered events of the catalogue as JSON lines. */
 export interface Logger {
@@ -12,10 +13,21 @@
 /** Creates the logger of a program; `context` is part of each line. */
 export function createLogger(program: string, context: LogFields): Logger {
   const roarr = Roarr.child({program, ...context});
+  let reported = 0;
+
+  function line(event: LogEventId, fields: LogFields): void {
+    const {level, text} = LOG_EVENTS[event];
+    roarr[level]({event, ...fields}, text);
+  }
+
   return {
     write: (event, fields = {}) => {
-      const {level, text} = LOG_EVENTS[event];
-      roarr[level]({event, ...fields}, text);
+      const dropped = PROCESS_LOG.dropped();
+      if (dropped > reported) {
+        line('WL9007', {dropped: dropped - reported, sinceStart: dropped});
+        reported = dropped;
+      }
+      line(event, fields);
     },
   };
 }
--- a/packages/runtime/src/metrics/create_metrics.ts
+++ b/packages/runtime/src/metrics/create_metrics.ts
@@ -8,6 +8,7 @@
 import {METRICS} from '@wisterialadder/core/shared/metrics.js';
 import type {MetricName} from '@wisterialadder/core/shared/metric_name.js';
 
+const EVENT_LOOP_PRECISION_MS = 10;
 const LATENCY_BUCKETS_MS = [
   5, 10, 20, 50, 100, 200, 300, 500, 1_000, 2_000, 5_000, 10_000, 30_000,
   60_000, 300_000,
@@ -24,10 +25,16 @@
   text(): Promise<string>;
 }
 
-/** Creates every metric of the catalogue in a registry of its own. */
-export function createMetrics(): Metrics {
+/**
+ * Creates every metric of the catalogue in a registry of its own.
+ * @param precisionMs pause between two samples of the event loop's delay
+ */
+export function createMetrics(precisionMs = EVENT_LOOP_PRECISION_MS): Metrics {
   const registry = new Registry();
-  collectDefaultMetrics({register: registry});
+  collectDefaultMetrics({
+    register: registry,
+    eventLoopMonitoringPrecision: precisionMs,
+  });
   const byName = new Map<string, Counter | Gauge | Histogram>();
   for (const [name, def] of Object.entries(METRICS)) {
     const options = {
