Tell peers of endpoints that are no longer forgiven; doubt endpoints together

Cause: for two seconds after an outage of the store a removed record is forgiven; when that ended, the gateway that reads for all told nobody, and the others had jumped past the record. Ruled out: a lost message (all six others missed the same change). Change: what is no longer forgiven is logged and told like a change that was read. Test: store_watch.test.ts. Also: an endpoint out of reach is told to peers and tried by one request at a time; what never reached an endpoint uses no repeat; prompts that one engine reads within 60 ms are not spread.

--- /dev/null
+++ b/packages/core/src/endpoint_health/endpoint_health.test.ts
@@ -0,0 +1,100 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  attemptFailed,
+  kinds,
+  readyGateway,
+  requestArrived,
+  started,
+} from '../mocks/gateway_harness.js';
+import {endpointEntry} from '../mocks/gateway_parts.js';
+import type {GatewayEvent} from '../gateway/events/gateway_event.js';
+import type {PeerMessage} from '../fleet/messages/peer_message.js';
+
+const TWO_ENGINES = [endpointEntry({id: 'e1'}), endpointEntry({id: 'e2'})];
+
+function fromPeer(message: PeerMessage): GatewayEvent {
+  return {
+    kind: 'peer_received',
+    from: '10.0.0.2:7000',
+    incarnation: 1,
+    message,
+  };
+}
+
+function endpointsOf(gateway: ReturnType<typeof readyGateway>, count: number) {
+  return Array.from(
+    {length: count},
+    (_, i) => started(gateway.step(requestArrived({reqId: `q${i}`})))?.endpoint,
+  );
+}
+
+test('an endpoint that cannot be reached gets one trial at a time', () => {
+  const gateway = readyGateway({entries: TWO_ENGINES});
+  const dead = started(gateway.step(requestArrived()))?.endpoint;
+  gateway.step(attemptFailed('connect_failed'));
+  assert.ok(!endpointsOf(gateway, 5).includes(dead));
+  gateway.step({kind: 'tick'}, 450);
+  const tried = endpointsOf(gateway, 6).filter(id => id === dead);
+  assert.equal(tried.length, 1);
+});
+
+test('an endpoint that answers again gets work like any other', () => {
+  const gateway = readyGateway({entries: [endpointEntry()]});
+  gateway.step(requestArrived());
+  const retry = started(gateway.step(attemptFailed('connect_failed'), 5));
+  assert.equal(retry?.endpoint, 'e1');
+  gateway.step(
+    {
+      kind: 'piece_received',
+      reqId: 'r1',
+      attempt: 2,
+      piece: 1,
+      payload: new Uint8Array(),
+    },
+    100,
+  );
+  assert.deepEqual(endpointsOf(gateway, 2), ['e1', 'e1']);
+});
+
+test('peers are told of an endpoint out of reach and spare it', () => {
+  const gateway = readyGateway({entries: TWO_ENGINES});
+  gateway.step(
+    fromPeer({
+      kind: 'beat',
+      failureDomain: 'amman-1',
+      storeReachable: true,
+      draining: false,
+      wantsReply: false,
+      work: [],
+    }),
+  );
+  gateway.step(requestArrived());
+  const actions = gateway.step(attemptFailed('connect_failed'));
+  const doubt = actions.find(
+    action =>
+      action.kind === 'send_peers' && action.message.kind === 'endpoint_doubt',
+  );
+  assert.ok(doubt);
+
+  const other = readyGateway({entries: TWO_ENGINES});
+  other.step(fromPeer({kind: 'endpoint_doubt', endpoint: 'e1', pauseMs: 400}));
+  assert.deepEqual(endpointsOf(other, 3), ['e2', 'e2', 'e2']);
+});
+
+test('where all endpoints are doubtful, one is tried rather than none', () => {
+  const gateway = readyGateway({entries: TWO_ENGINES});
+  for (const endpoint of ['e1', 'e2']) {
+    gateway.step(fromPeer({kind: 'endpoint_doubt', endpoint, pauseMs: 6_000}));
+  }
+  assert.ok(started(gateway.step(requestArrived())));
+});
+
+test('what never reached an endpoint uses no repeat of the allowance', () => {
+  const gateway = readyGateway({cfg: {retryExtra: 0, retryRatio: 0}});
+  gateway.step(requestArrived());
+  const again = gateway.step(attemptFailed('connect_failed'));
+  assert.ok(started(again));
+  const broken = gateway.step(attemptFailed('broken', 2));
+  assert.deepEqual(kinds(broken, 'start_attempt', 'refuse'), ['refuse']);
+});
--- a/packages/core/src/fleet/messages/peer_message.ts
+++ b/packages/core/src/fleet/messages/peer_message.ts
@@ -1,8 +1,10 @@
 import type {Beat} from './beat.js';
+import type {EndpointDoubt} from './endpoint_doubt.js';
 import type {StateCopy} from './state_copy.js';
 import type {StatePull} from './state_pull.js';
 import type {StoreNews} from './store_news.js';
 import type {WorkUpdate} from './work_update.js';
 
 /** Every message between gateways. */
-export type PeerMessage = Beat | StateCopy | StatePull | StoreNews | WorkUpdate;
+export type PeerMessage =
+  Beat | EndpointDoubt | StateCopy | StatePull | StoreNews | WorkUpdate;
--- a/packages/core/src/forwarding/forwarding.ts
+++ b/packages/core/src/forwarding/forwarding.ts
@@ -190,6 +190,7 @@
       shortestGapMs: Number.POSITIVE_INFINITY,
       pieces: 0,
     };
+    health.tried(choice.main.id, nowMs);
     ctx.emit(
       startAttemptOf(req, choice, ticket, maxConnections(nowMs, req), nowMs),
     );
@@ -282,7 +283,7 @@
       });
       return attemptFailed(ctx, req, current, 'broken', 'piece missing');
     }
-    if (current.pieces === 0) firstPiece(current);
+    if (current.pieces === 0) firstPiece(ctx, current);
     else notePause(current, ctx.nowMs - progressMs);
     current.pieces += 1;
     req.lastPiece = event.piece;
@@ -291,9 +292,9 @@
     ctx.emit({kind: 'deliver_piece', reqId: req.reqId, payload: event.payload});
   }
 
-  function firstPiece(current: CurrentAttempt): void {
+  function firstPiece(ctx: GatewayContext, current: CurrentAttempt): void {
     gossip.writing(current.work);
-    health.succeeded(current.choice.main.id);
+    health.succeeded(current.choice.main.id, ctx.nowMs);
   }
 
   /** A sound engine has at least one pass without reading before long. */
@@ -326,7 +327,7 @@
     const found = currentOf(event.reqId, event.attempt);
     if (!found) return;
     const {req, current} = found;
-    health.succeeded(current.choice.main.id);
+    health.succeeded(current.choice.main.id, ctx.nowMs);
     beginStream(ctx, req, event.attempt);
     ctx.emit({kind: 'end_stream', reqId: req.reqId});
     finish(ctx, req, 'completed', '');
@@ -336,7 +337,7 @@
     const found = currentOf(event.reqId, event.attempt);
     if (!found) return;
     const {req, current} = found;
-    if (event.status >= SERVER_ERROR_STATUS && mayRepeat(ctx, req)) {
+    if (event.status >= SERVER_ERROR_STATUS && mayRepeat(ctx, req, 'broken')) {
       gossip.ended(current.work);
       tickets.release(ctx, req.reqId);
       req.current = undefined;
@@ -344,7 +345,7 @@
       return dispatch(ctx, req);
     }
     if (event.status < SERVER_ERROR_STATUS) {
-      health.succeeded(current.choice.main.id);
+      health.succeeded(current.choice.main.id, ctx.nowMs);
     }
     const {reqId, attempt} = event;
     ctx.emit({kind: 'deliver_answer', reqId, attempt});
@@ -376,7 +377,7 @@
     gossip.ended(current.work);
     tickets.release(ctx, req.reqId);
     req.current = undefined;
-    if (failure !== 'said_not_run') health.failed(ctx, main.id, failure);
+    if (failure !== 'said_not_run') noteFailure(ctx, main.id, failure);
     ctx.emit({
       kind: 'write_log',
       event: 'WL8303',
@@ -390,16 +391,35 @@
         afterMs: Math.round(ctx.nowMs - current.startedMs),
       },
     });
-    if (mayRepeat(ctx, req)) return dispatch(ctx, req);
+    if (mayRepeat(ctx, req, failure)) return dispatch(ctx, req);
     giveUp(ctx, req, req.history.notRunProof() ? 'overloaded' : 'broken');
   }
 
+  function noteFailure(
+    ctx: GatewayContext,
+    endpoint: string,
+    failure: AttemptFailure,
+  ): void {
+    const pauseMs = health.failed(ctx, endpoint, failure);
+    if (failure !== 'connect_failed') return;
+    const to = members.alive(ctx.nowMs).map(({address}) => address);
+    if (to.length === 0) return;
+    const message = {kind: 'endpoint_doubt', endpoint, pauseMs} as const;
+    ctx.emit({kind: 'send_peers', to, message});
+  }
+
   /** Takes one repeat of the allowance if the request may be sent again. */
-  function mayRepeat(ctx: GatewayContext, req: ForwardedRequest): boolean {
+  function mayRepeat(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    failure: AttemptFailure,
+  ): boolean {
     const {nowMs} = ctx;
+    // What never reached an endpoint is no repeat there.
+    const free = failure === 'connect_failed';
     const denial =
       retryDenial(req, nowMs) ??
-      (allowance.tryTake(nowMs, req.service, members.size(nowMs))
+      (free || allowance.tryTake(nowMs, req.service, members.size(nowMs))
         ? undefined
         : 'allowance_used');
     if (denial === undefined) return true;
@@ -497,6 +517,10 @@
       stream_ended: streamEnded,
       answer_received: answered,
       attempt_failed: failed,
+      peer_received: (ctx, {message}) => {
+        if (message.kind !== 'endpoint_doubt') return;
+        health.doubted(message.endpoint, message.pauseMs, ctx.nowMs);
+      },
       ...tickets.handlers,
     },
     expire: ctx => {
--- a/packages/core/src/forwarding/retry_denial.ts
+++ b/packages/core/src/forwarding/retry_denial.ts
@@ -3,7 +3,7 @@
 /** A repeat with less time than this left cannot succeed. */
 const MIN_REMAINING_MS = 60;
 /** Endpoints that may turn one request down before it is given up. */
-const MAX_ATTEMPTS = 5;
+const MAX_ATTEMPTS = 8;
 
 /** Why a request is not sent to another endpoint. */
 export type RetryDenial =
--- a/packages/core/src/registry/endpoint_registry.test.ts
+++ b/packages/core/src/registry/endpoint_registry.test.ts
@@ -61,8 +61,9 @@
   registry.forgiveUntil(2_000);
   registry.list(100, []);
   assert.deepEqual(usable(registry), ['e1']);
-  assert.equal(registry.expire(1_999), false);
-  assert.equal(registry.expire(2_000), true);
+  assert.deepEqual(registry.expire(1_999), []);
+  const gone = registry.expire(2_000).map(({id}) => id);
+  assert.deepEqual(gone, ['e1']);
   assert.deepEqual(usable(registry), []);
 });
 
--- a/packages/core/src/registry/endpoint_registry.ts
+++ b/packages/core/src/registry/endpoint_registry.ts
@@ -16,8 +16,8 @@
    * live. Until the given time, entries that it drops stay usable.
    */
   forgiveUntil(untilMs: number): void;
-  /** Judges what is due; true if the usable endpoints changed. */
-  expire(nowMs: number): boolean;
+  /** Judges what is due; returns what is no longer forgiven. */
+  expire(nowMs: number): EntryChange[];
   /** Endpoints of a service that may take new work. */
   usable(service: string): EndpointEntry[];
   get(id: string): RegisteredEndpoint | undefined;
@@ -94,20 +94,20 @@
     return true;
   }
 
-  function expire(nowMs: number): boolean {
-    let changed = false;
+  function expire(nowMs: number): EntryChange[] {
+    const gone: EntryChange[] = [];
     for (const [id, known] of byId) {
       const ageMs = nowMs - known.sinceMs;
       if (known.standing === 'missing' && nowMs >= forgiveUntilMs) {
         known.standing = 'gone';
         known.sinceMs = nowMs;
-        changed = true;
+        gone.push({id, entry: undefined, unreadable: false});
       } else if (known.standing === 'gone' && ageMs >= REMEMBER_GONE_MS) {
         byId.delete(id);
       }
     }
-    if (changed) regroup();
-    return changed;
+    if (gone.length > 0) regroup();
+    return gone;
   }
 
   function regroup(): void {
--- a/packages/core/src/spread/least_loss.ts
+++ b/packages/core/src/spread/least_loss.ts
@@ -21,8 +21,10 @@
 const WIDTHS = [1, 2, 3, 4, 6, 8, 10, 12, 14, 16];
 /** Ways to take turns with prompts that engines read already. */
 const TURNS = ['at_once', 'in_turn'] as const;
-/** Prompts whose parts take less to read gain nothing from more helpers. */
-const LEAST_PART_MS = 10;
+/** Prompts that one engine reads sooner gain nothing from helpers. */
+const LEAST_SPREAD_MS = 60;
+/** Parts that take less to read gain nothing from more helpers. */
+const LEAST_PART_MS = 30;
 /** Share of a request's worth that is lost if it is late. */
 const LATE_SHARE = 0.75;
 /** Worth of a second, to prefer what is faster among what is in time. */
@@ -89,7 +91,7 @@
         const choice = this.spread(req, candidates, plan, random);
         if (choice && (!best || choice.loss < best.loss)) best = choice;
       }
-      if (readMs < LEAST_PART_MS) break;
+      if (readMs < (width === 1 ? LEAST_SPREAD_MS : LEAST_PART_MS)) break;
     }
     return best;
   }
--- a/packages/core/src/store_watch/store_watch.test.ts
+++ b/packages/core/src/store_watch/store_watch.test.ts
@@ -184,3 +184,28 @@
   });
   assert.deepEqual(messages(told), ['store_news']);
 });
+
+test('peers hear of an endpoint that is no longer forgiven', () => {
+  const gateway = readyGateway({entries: [endpointEntry()]});
+  gateway.step(fromPeer(beat({storeReachable: false}), '10.0.0.9:7000'));
+  gateway.step({kind: 'tick'}, 500);
+  gateway.step(STORE_FAILED);
+  gateway.step({kind: 'tick'}, 500);
+  gateway.step(configurationRead(undefined));
+  gateway.step(registryRead([], 20));
+  gateway.step(fromPeer(beat({storeReachable: false}), '10.0.0.9:7000'), 1_900);
+  gateway.step({kind: 'tick'}, 200);
+  const told = gateway.step({
+    kind: 'registry_read',
+    listing: false,
+    fromOffset: 20,
+    nextOffset: 20,
+    changes: [],
+  });
+  const changes = told.flatMap(action =>
+    action.kind === 'send_peers' && action.message.kind === 'store_news'
+      ? action.message.changes.map(({id}) => id)
+      : [],
+  );
+  assert.deepEqual(changes, ['e1']);
+});
--- a/packages/core/src/store_watch/store_watch.ts
+++ b/packages/core/src/store_watch/store_watch.ts
@@ -78,8 +78,11 @@
         position.askedMs = undefined;
       }
     }
-    if (registry.expire(nowMs)) {
-      registryChanged(ctx, []);
+    const gone = registry.expire(nowMs);
+    if (gone.length > 0) {
+      // Peers rely on this gateway's reads, which are past these records.
+      recent.add(nowMs, positions.registry.next ?? 0, gone);
+      registryChanged(ctx, gone);
     }
     if (nowMs - polledMs >= pollIntervalMs(nowMs)) poll(ctx);
   }
--- a/packages/gateway/src/peers/datagram_codec.test.ts
+++ b/packages/gateway/src/peers/datagram_codec.test.ts
@@ -57,6 +57,11 @@
     writing: fc.array(COUNT, {maxLength: 3}),
     ended: fc.array(COUNT, {maxLength: 3}),
   }),
+  fc.record({
+    kind: fc.constant('endpoint_doubt' as const),
+    endpoint: fc.string(),
+    pauseMs: COUNT,
+  }),
   fc.record({
     kind: fc.constant('store_news' as const),
     configurationOffset: OFFSET,
--- a/packages/gateway/src/peers/datagram_codec.ts
+++ b/packages/gateway/src/peers/datagram_codec.ts
@@ -40,6 +40,10 @@
       return {case: 'workUpdate', value: updateOut(message)};
     case 'store_news':
       return {case: 'storeNews', value: newsOut(message)};
+    case 'endpoint_doubt': {
+      const {endpoint, pauseMs} = message;
+      return {case: 'endpointDoubt', value: {endpoint, pauseMs}};
+    }
   }
 }
 
@@ -127,6 +131,8 @@
         changes: message.value.changes.map(changeIn),
         ageMs: message.value.ageMs,
       };
+    case 'endpointDoubt':
+      return {kind: 'endpoint_doubt', ...message.value};
     default:
       return undefined;
   }
