--- a/packages/gateway/src/gateway_program.ts
+++ b/packages/gateway/src/gateway_program.ts
@@ -98,7 +98,7 @@
     closing: callers.closing,
     push,
   });
-  store.add(
+  const probe = store.add(
     await startHttpServer(
       cfg.caller.probe,
       probeRoutes(ports.readinessPath, readiness),
@@ -162,6 +162,7 @@
   loop.catch(onError);
   return {
     caller: callers.address,
+    probe: probe.address,
     ops: ops.address,
     peers: peers.address,
   };
--- a/packages/standins/src/platform/log/stored_stream.ts
+++ b/packages/standins/src/platform/log/stored_stream.ts
@@ -13,8 +13,14 @@
   read(nowMs: number, from: number): LogBatch;
 }
 
+/** How much a stream keeps. */
+export type Retention = Pick<
+  PlatformConfig,
+  'retentionMs' | 'retentionRecords'
+>;
+
 /** Creates an empty stream. */
-export function createStoredStream(cfg: PlatformConfig): StoredStream {
+export function createStoredStream(cfg: Retention): StoredStream {
   let records: StoredRecord[] = [];
   let earliest = 0;
 
--- a/scripts/demo_admin.mjs
+++ b/scripts/demo_admin.mjs
@@ -8,7 +8,7 @@
 import {createLogger} from '../packages/runtime/dist/logging/logger.js';
 import {createMetrics} from '../packages/runtime/dist/metrics/create_metrics.js';
 import {MemoryLogClient} from '../packages/runtime/dist/mocks/memory_log_client.js';
-import {readSettings} from '../packages/runtime/dist/program/run_program.js';
+import {readSettings} from '../packages/runtime/dist/settings/read_settings.js';
 
 const SETTINGS_FILE = '../config/cotecode/admin-amman-1a.ini';
 
--- /dev/null
+++ b/scripts/fleet/gateway_fleet.mjs
@@ -0,0 +1,104 @@
+// Gateways as separate processes before a stand-in of the users' platform.
+import {mkdtempSync, rmSync} from 'node:fs';
+import {createServer} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {startDoublePlatform} from '../../platform/dist/mocks/double_platform.js';
+import {sendRequest} from '../../platform/dist/mocks/double_client.js';
+import {startProcess} from './process.mjs';
+
+const BIN = 'platform/dist/main.js';
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+const READY_TIMEOUT_MS = 10_000;
+const KEY = 'key-1';
+
+/** A port that is free on loopback; all gateways use it for their peers. */
+async function freePort() {
+  const server = createServer();
+  await new Promise(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address();
+  await new Promise(resolve => server.close(resolve));
+  return port;
+}
+
+/** Starts a platform and gateways; every gateway has an address of its own. */
+export async function startGatewayFleet({
+  gateways: count = 2,
+  engines = 4,
+  services = 2,
+  storeAddress,
+} = {}) {
+  const dir = mkdtempSync(join(tmpdir(), 'wl-gateway-'));
+  const platform = await startDoublePlatform({engines, services});
+  const port = await freePort();
+  const processes = [];
+  const seeds = Array.from({length: count}, (_, i) => `127.0.0.${i + 2}:1`);
+  let sent = 0;
+
+  async function start(index) {
+    const ip = `127.0.0.${index + 2}`;
+    const gateway = await startProcess({
+      name: `gateway-${index + 1}-${processes.length}`,
+      bin: BIN,
+      dir,
+      settings: {
+        vm: {failure_domain: ZONES[index % ZONES.length]},
+        caller: {listen: `${ip}:0`, probe: `${ip}:0`},
+        ops: {listen: `${ip}:0`},
+        peers: {listen: `${ip}:${port}`, secret: `fleet-${port}`, seeds},
+        store: {address: storeAddress ?? platform.store.address},
+        shutdown: {grace: 8, notice: 300},
+        retries: {ratio: 0.2, extra: 100, window: 10},
+      },
+    });
+    processes.push(gateway);
+    return gateway;
+  }
+
+  /** Sends a generation or, without tokens, a call of a plain service. */
+  function send(gateway, over = {}) {
+    sent += 1;
+    return sendRequest({
+      gateway: gateway.started.caller,
+      attemptId: `a${sent}`,
+      path: '/lookup/1',
+      key: KEY,
+      tokens: [2_000, 400],
+      deadlineMs: 8_000,
+      ...over,
+    });
+  }
+
+  async function ready(gateway, wanted = 200) {
+    const url = `http://${gateway.started.probe}/readiness`;
+    const dueMs = Date.now() + READY_TIMEOUT_MS;
+    for (;;) {
+      const res = await fetch(url).catch(() => undefined);
+      if (res?.status === wanted) return;
+      if (Date.now() > dueMs) throw new Error(`${gateway.name}: not ${wanted}`);
+      await sleep(20);
+    }
+  }
+
+  async function status(gateway) {
+    const res = await fetch(`http://${gateway.started.ops}/status`);
+    return res.json();
+  }
+
+  async function stop() {
+    for (const gateway of processes) {
+      if (!gateway.running()) continue;
+      gateway.kill('SIGCONT');
+      gateway.kill('SIGKILL');
+    }
+    await Promise.all(processes.map(gateway => gateway.exited));
+    await platform.close();
+    rmSync(dir, {recursive: true, force: true});
+  }
+
+  const gateways = [];
+  for (let i = 0; i < count; i++) gateways.push(await start(i));
+  await Promise.all(gateways.map(gateway => ready(gateway)));
+  return {platform, gateways, start, send, ready, status, stop};
+}
