--- /dev/null
+++ b/packages/cli/src/client/gateway_answer.ts
@@ -0,0 +1,40 @@
+import {z} from 'zod';
+
+/** Answer of `GET /status` on the operations port of `wl-gateway`. */
+export const GATEWAY_ANSWER = z.object({
+  address: z.string(),
+  stage: z.string(),
+  configurationVersion: z.number(),
+  knowledgeAgeMs: z.number(),
+  storeReachable: z.boolean(),
+  inFlight: z.number(),
+  members: z.array(
+    z.object({
+      address: z.string(),
+      failureDomain: z.string(),
+      alive: z.boolean(),
+      silentMs: z.number(),
+      storeReachable: z.boolean(),
+      draining: z.boolean(),
+    }),
+  ),
+  endpoints: z.array(
+    z.object({
+      id: z.string(),
+      service: z.string(),
+      address: z.string(),
+      failureDomain: z.string(),
+      standing: z.string(),
+      asideMs: z.number(),
+      failures: z.number(),
+      lastFailure: z.string(),
+      pace: z.number(),
+      inFlight: z.number(),
+      readingMs: z.number(),
+    }),
+  ),
+  repeatsLeft: z.record(z.string(), z.number()),
+});
+
+/** What a gateway believes. */
+export type GatewayAnswer = z.infer<typeof GATEWAY_ANSWER>;
--- a/packages/cli/src/commands/all_commands.ts
+++ b/packages/cli/src/commands/all_commands.ts
@@ -1,6 +1,7 @@
 import type {Command} from './command.js';
 import {ENDPOINT_COMMANDS} from './endpoint_commands.js';
 import {ENDPOINTS_LIST} from './endpoints_list.js';
+import {GATEWAY_STATUS} from './gateway_status.js';
 import {REQUESTS_FIND} from './requests_find.js';
 import {SETTINGS_CHECK} from './settings_check.js';
 import {STATUS} from './status.js';
@@ -27,6 +28,7 @@
   ENDPOINTS_LIST,
   ...ENDPOINT_COMMANDS,
   STATUS,
+  GATEWAY_STATUS,
   REQUESTS_FIND,
   SETTINGS_CHECK,
   VERSION_COMMAND,
--- a/packages/cli/src/commands/command_context.ts
+++ b/packages/cli/src/commands/command_context.ts
@@ -1,4 +1,5 @@
 import type {Result} from '@wisterialadder/core/shared/result.js';
+import type {Readable} from 'node:stream';
 import type {AdminClient} from '../client/admin_client.js';
 import type {CliError} from '../cli_error.js';
 
@@ -6,5 +7,6 @@
 export interface CommandContext {
   /** Client of the API; an error if address or key are missing. */
   client(): Result<AdminClient, CliError>;
+  input: Readable;
   newEditId(): string;
 }
--- a/packages/cli/src/commands/requests_find.ts
+++ b/packages/cli/src/commands/requests_find.ts
@@ -1,5 +1,6 @@
 import {createReadStream} from 'node:fs';
 import {createInterface} from 'node:readline';
+import type {Readable} from 'node:stream';
 import type {Command} from './command.js';
 import {done, failure, wrongUsage} from './command_result.js';
 import {parseLogLine, type LogLine} from './log_line.js';
@@ -9,8 +10,8 @@
 
 /** Searches log files for everything about a request or a customer. */
 export const REQUESTS_FIND: Command = {
-  usage: 'requests find <...files>',
-  help: 'Find log lines of a request, or of all requests of a customer',
+  usage: 'requests find [...files]',
+  help: 'Find log lines of a request or a customer, without files in standard input',
   options: [
     {flag: '--request <id>', help: 'Request id'},
     {flag: '--customer <name>', help: 'Customer name'},
@@ -18,9 +19,10 @@
   ],
   examples: [
     'requests find --request 6f1c router.log',
+    'requests find --request 6f1c < gateway.log',
     'requests find --customer ana /var/log/wl/*.log --json',
   ],
-  run: async (_ctx, {rest, text}) => {
+  run: async ({input}, {rest, text}) => {
     const request = text('request');
     const customer = text('customer');
     if ((request === undefined) === (customer === undefined)) {
@@ -34,16 +36,18 @@
       return wrongUsage('--limit is not a whole number above 0', '');
     }
     try {
-      const ids = new Set<string>();
-      if (request !== undefined) ids.add(request);
-      // Only some lines of a request name its customer.
-      else await scan(rest, line => collect(ids, line, customer ?? ''));
-      const found: LogLine[] = [];
-      await scan(rest, line => {
-        if (!ids.has(line.context.reqId)) return true;
-        found.push(line);
-        return found.length < limit;
+      // Only some lines of a request name its customer, so lines before the
+      // first of these are kept until the end.
+      const ids = new Set(request === undefined ? [] : [request]);
+      const lines = await scan(rest, input, line => {
+        const {reqId, customer: owner} = line.context;
+        if (reqId === '') return false;
+        if (owner !== '' && owner === customer) ids.add(reqId);
+        return customer !== undefined || ids.has(reqId);
       });
+      const found = lines
+        .filter(({context}) => ids.has(context.reqId))
+        .slice(0, limit);
       found.sort((a, b) => a.time - b.time);
       return done({
         columns: ['time', 'event', 'request', 'message', 'fields'],
@@ -66,24 +70,22 @@
   },
 };
 
-function collect(ids: Set<string>, line: LogLine, customer: string): boolean {
-  const {reqId} = line.context;
-  if (line.context.customer === customer && reqId !== '') ids.add(reqId);
-  return true;
-}
-
-/** Feeds the structured lines of files to `take` until it answers false. */
+/** Collects the structured lines of files that are wanted. */
 async function scan(
   files: readonly string[],
-  take: (line: LogLine) => boolean,
-): Promise<void> {
-  for (const file of files) {
-    const lines = createInterface({input: createReadStream(file)});
-    for await (const text of lines) {
+  input: Readable,
+  wanted: (line: LogLine) => boolean,
+): Promise<LogLine[]> {
+  const found: LogLine[] = [];
+  const streams =
+    files.length > 0 ? files.map(file => createReadStream(file)) : [input];
+  for (const stream of streams) {
+    for await (const text of createInterface({input: stream})) {
       const line = parseLogLine(text);
-      if (line && !take(line)) return;
+      if (line && wanted(line)) found.push(line);
     }
   }
+  return found;
 }
 
 function fieldsText(context: LogLine['context']): string {
--- /dev/null
+++ b/packages/cli/src/gateway_commands.test.ts
@@ -0,0 +1,106 @@
+import assert from 'node:assert/strict';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {test, type TestContext} from 'node:test';
+import type {GatewayAnswer} from './client/gateway_answer.js';
+import {wlctl, wlctlWithInput} from './mocks/wlctl_run.js';
+
+function gatewayAnswer(): GatewayAnswer {
+  return {
+    address: '10.0.0.1:7000',
+    stage: 'serving',
+    configurationVersion: 12,
+    knowledgeAgeMs: 410.2,
+    storeReachable: false,
+    inFlight: 3,
+    members: [
+      {
+        address: '10.0.0.2:7000',
+        failureDomain: 'zone-b',
+        alive: false,
+        silentMs: 4_000,
+        storeReachable: true,
+        draining: false,
+      },
+    ],
+    endpoints: [
+      {
+        id: 'i-7',
+        service: 'llm',
+        address: '10.0.1.7:80',
+        failureDomain: 'zone-a',
+        standing: 'ready',
+        asideMs: 0,
+        failures: 0,
+        lastFailure: '',
+        pace: 1.25,
+        inFlight: 4,
+        readingMs: 310.4,
+      },
+    ],
+    repeatsLeft: {llm: 20.7},
+  };
+}
+
+async function opsServer(t: TestContext, body: unknown): Promise<string> {
+  const server = createServer((req, res) => {
+    res.statusCode = req.url === '/status' ? 200 : 404;
+    res.end(JSON.stringify(body));
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  t.after(() => server.close());
+  return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function logLine(event: string, fields: Record<string, unknown>): string {
+  const context = {event, program: 'wl-gateway', ...fields};
+  return JSON.stringify({context, message: `text of ${event}`, time: 1_000});
+}
+
+test('a gateway shows what it believes', async t => {
+  const url = await opsServer(t, gatewayAnswer());
+  const {status, out} = await wlctl({}, 'gateway', 'status', url);
+  assert.equal(status, 0);
+  assert.match(out, /i-7 +llm +zone-a +ready +4 +310 +1\.25/);
+  assert.match(out, /configuration 12, known as of 410 ms ago, store NOT/);
+  assert.match(out, /peers: 0 of 1 alive, 10\.0\.0\.2:7000 is not/);
+  assert.match(out, /repeats left: llm 20/);
+});
+
+test('a gateway that does not answer is told from a wrong answer', async t => {
+  const gone = await wlctl({}, 'gateway', 'status', 'http://127.0.0.1:1');
+  assert.equal(gone.status, 9);
+  assert.match(gone.err, /no answer/);
+  const url = await opsServer(t, {stage: 'serving'});
+  const wrong = await wlctl({}, 'gateway', 'status', url);
+  assert.equal(wrong.status, 10);
+  const typo = await wlctl({}, 'gateway', 'status', 'gateway-1');
+  assert.equal(typo.status, 2);
+});
+
+test('a request is explained from lines on standard input', async () => {
+  const input = [
+    logLine('WL8301', {reqId: 'a1', endpoint: 'i-7'}),
+    'no structured line',
+    logLine('WL8301', {reqId: 'a2', endpoint: 'i-8'}),
+    logLine('WL8302', {reqId: 'a1', outcome: 'late'}),
+  ].join('\n');
+  const words = ['requests', 'find', '--request', 'a1'];
+  const {status, out} = await wlctlWithInput(input, {}, ...words);
+  assert.equal(status, 0);
+  assert.match(out, /WL8301 +a1 +text of WL8301 +endpoint=i-7/);
+  assert.match(out, /WL8302 +a1 +text of WL8302 +outcome=late/);
+  assert.doesNotMatch(out, /a2/);
+});
+
+test('lines of a request before its customer is named are found too', async () => {
+  const input = [
+    logLine('WL8305', {reqId: 'a1'}),
+    logLine('WL8301', {reqId: 'a1', customer: 'clerks'}),
+    logLine('WL8301', {reqId: 'a2', customer: 'trustees'}),
+  ].join('\n');
+  const words = ['requests', 'find', '--customer', 'clerks'];
+  const {out} = await wlctlWithInput(input, {}, ...words);
+  assert.match(out, /WL8305/);
+  assert.doesNotMatch(out, /a2/);
+});
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -5,6 +5,7 @@
   process.exitCode = await runWlctl({
     words: process.argv.slice(2),
     env: process.env,
+    input: process.stdin,
     out: text => process.stdout.write(text),
     err: text => process.stderr.write(text),
   });
--- a/packages/cli/src/mocks/wlctl_run.ts
+++ b/packages/cli/src/mocks/wlctl_run.ts
@@ -1,3 +1,4 @@
+import {Readable} from 'node:stream';
 import {runWlctl} from '../wlctl.js';
 
 /** What a command line wrote and its exit status. */
@@ -7,8 +8,17 @@
   err: string;
 }
 
-/** Runs a command line against an API. */
-export async function wlctl(
+/** Runs a command line against an API, without standard input. */
+export function wlctl(
+  env: Record<string, string>,
+  ...words: string[]
+): Promise<WlctlRun> {
+  return wlctlWithInput('', env, ...words);
+}
+
+/** Runs a command line that reads a text from standard input. */
+export async function wlctlWithInput(
+  input: string,
   env: Record<string, string>,
   ...words: string[]
 ): Promise<WlctlRun> {
@@ -17,6 +27,7 @@
   const status = await runWlctl({
     words,
     env,
+    input: Readable.from([input]),
     out: text => (out += text),
     err: text => (err += text),
   });
--- a/packages/cli/src/wlctl.ts
+++ b/packages/cli/src/wlctl.ts
@@ -90,8 +90,9 @@
   };
 }
 
-function commandContext({words, env}: WlctlParts) {
+function commandContext({words, env, input}: WlctlParts) {
   return {
+    input,
     newEditId: () => randomUUID(),
     client: (): Result<AdminClient, CliError> => {
       const url = optionText(words, 'url') ?? env['WL_ADMIN_URL'];
