Split the forwarding; let requests wait briefly for room on engines

A prompt for which no set of engines had room was refused at once, without a line that told why, and a begun stream broke when no engine was usable at that moment. Such a request now waits for an eighth of its target, a begun stream until its deadline, and WL8306 shows the endpoints and the free memory that decided.

forwarding.ts is split by what happens to a request: dispatch, answers, failures, end.

--- a/packages/core/src/forwarding/admission.ts
+++ b/packages/core/src/forwarding/admission.ts
@@ -36,6 +36,7 @@
     attempts: 0,
     current: undefined,
     planned: undefined,
+    roomCheckMs: undefined,
     failedAt: new Set(),
     refusedRounds: 0,
     lastPiece: arrived.resumeAfter,
--- /dev/null
+++ b/packages/core/src/forwarding/attempt_failures.ts
@@ -0,0 +1,138 @@
+import type {EndpointHealth} from '../endpoint_health/endpoint_health.js';
+import type {FleetGossip} from '../fleet/fleet_gossip.js';
+import type {FleetMembers} from '../fleet/fleet_members.js';
+import type {GatewayContext} from '../gateway/gateway_context.js';
+import type {EndpointSelection} from '../spread/endpoint_selection.js';
+import type {Tickets} from '../tickets/tickets.js';
+import type {AttemptFailure} from '../types/attempt_failure.js';
+import type {CurrentAttempt} from './current_attempt.js';
+import type {Dispatcher} from './dispatcher.js';
+import type {ForwardedRequest} from './forwarded_request.js';
+import type {RequestEnd} from './request_end.js';
+import type {RetryAllowance} from './retry_allowance.js';
+import {retryDenial} from './retry_denial.js';
+import {silenceLimitMs} from './silence_limit.js';
+
+/** Attempts that failed, and what becomes of their requests. */
+export interface AttemptFailures {
+  /** Sends the request elsewhere, or gives it up. */
+  attemptFailed(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    current: CurrentAttempt,
+    failure: AttemptFailure,
+    detail: string,
+  ): void;
+  /** Takes one repeat of the allowance if the request may be sent again. */
+  mayRepeat(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    failure: AttemptFailure,
+  ): boolean;
+  /** Ends an attempt whose endpoint is silent for too long. */
+  checkSilence(ctx: GatewayContext, req: ForwardedRequest): void;
+}
+
+/** What the failures work on. */
+export interface AttemptFailureParts {
+  selection: EndpointSelection;
+  health: EndpointHealth;
+  members: FleetMembers;
+  gossip: FleetGossip;
+  allowance: RetryAllowance;
+  tickets: Pick<Tickets, 'release'>;
+  end: RequestEnd;
+  dispatcher: Dispatcher;
+}
+
+/** Creates the handling of failures. */
+export function createAttemptFailures(
+  parts: AttemptFailureParts,
+): AttemptFailures {
+  const {selection, health, members, gossip, allowance} = parts;
+  const {tickets, end, dispatcher} = parts;
+
+  function attemptFailed(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    current: CurrentAttempt,
+    failure: AttemptFailure,
+    detail: string,
+  ): void {
+    const {main} = current.choice;
+    req.history.failed(failure);
+    req.failedAt.add(main.id);
+    gossip.ended(current.work);
+    tickets.release(ctx, req.reqId);
+    req.current = undefined;
+    if (failure !== 'said_not_run') noteFailure(ctx, main.id, failure);
+    ctx.emit({
+      kind: 'write_log',
+      event: 'WL8303',
+      fields: {
+        reqId: req.reqId,
+        attempt: current.attempt,
+        endpoint: main.id,
+        failure,
+        detail,
+        pieces: current.pieces,
+        afterMs: Math.round(ctx.nowMs - current.startedMs),
+      },
+    });
+    if (mayRepeat(ctx, req, failure)) return dispatcher.dispatch(ctx, req);
+    end.giveUp(ctx, req, req.history.notRunProof() ? 'overloaded' : 'broken');
+  }
+
+  function noteFailure(
+    ctx: GatewayContext,
+    endpoint: string,
+    failure: AttemptFailure,
+  ): void {
+    const pauseMs = health.failed(ctx, endpoint, failure);
+    if (failure !== 'connect_failed') return;
+    const to = members.alive(ctx.nowMs).map(({address}) => address);
+    if (to.length === 0) return;
+    const message = {kind: 'endpoint_doubt', endpoint, pauseMs} as const;
+    ctx.emit({kind: 'send_peers', to, message});
+  }
+
+  /** Takes one repeat of the allowance if the request may be sent again. */
+  function mayRepeat(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    failure: AttemptFailure,
+  ): boolean {
+    const {nowMs} = ctx;
+    // What never reached an endpoint is no repeat there.
+    const free = failure === 'connect_failed';
+    const denial =
+      retryDenial(req, nowMs) ??
+      (free || allowance.tryTake(nowMs, req.service, members.size(nowMs))
+        ? undefined
+        : 'allowance_used');
+    if (denial === undefined) return true;
+    const fields = {reqId: req.reqId, attempt: req.attempts, denial};
+    ctx.emit({kind: 'write_log', event: 'WL8304', fields});
+    return false;
+  }
+
+  function checkSilence(ctx: GatewayContext, req: ForwardedRequest): void {
+    const {current} = req;
+    const limitMs = silenceLimitMs(req);
+    if (!current || limitMs === undefined) return;
+    const silentMs = ctx.nowMs - current.progressMs;
+    if (silentMs < limitMs) return;
+    // An engine that reads long prompts is silent for good reason.
+    const readingMs = selection.readingMs(req.service, current.choice.main.id);
+    if (silentMs < limitMs + readingMs) return;
+    // Nothing is gained by ending an attempt that cannot be replaced.
+    if (retryDenial(req, ctx.nowMs)) return;
+    current.progressMs = ctx.nowMs;
+    const gateways = members.size(ctx.nowMs);
+    if (allowance.left(ctx.nowMs, req.service, gateways) < 1) return;
+    end.cancel(ctx, req);
+    attemptFailed(ctx, req, current, 'broken', 'silent');
+  }
+
+  return {attemptFailed, mayRepeat, checkSilence};
+}
--- /dev/null
+++ b/packages/core/src/forwarding/dispatcher.ts
@@ -0,0 +1,209 @@
+import type {PublishedConfiguration} from '../configuration/published_configuration.js';
+import type {EndpointHealth} from '../endpoint_health/endpoint_health.js';
+import type {FleetGossip} from '../fleet/fleet_gossip.js';
+import type {FleetMembers} from '../fleet/fleet_members.js';
+import type {Work} from '../fleet/work.js';
+import type {GatewayContext} from '../gateway/gateway_context.js';
+import type {EndpointChoice} from '../spread/endpoint_choice.js';
+import type {EndpointSelection} from '../spread/endpoint_selection.js';
+import type {TicketSet} from '../tickets/ticket_set.js';
+import type {Tickets} from '../tickets/tickets.js';
+import {choiceRequestOf} from './choice_request_of.js';
+import type {ForwardedRequest} from './forwarded_request.js';
+import type {PlannedStart} from './planned_start.js';
+import type {RequestEnd} from './request_end.js';
+import {roomWaitEndMs} from './room_wait.js';
+import {logNoRoute, logRoute} from './route_log.js';
+import {startAttemptOf} from './start_attempt_of.js';
+import {workOf} from './work_of.js';
+
+/** A shorter wait for engines is not worth it. */
+const LEAST_WAIT_MS = 15;
+/** A planned start is put off this often if its engines take longer. */
+const MAX_DELAYS = 6;
+const LONGEST_DELAY_MS = 150;
+/** Sets of engines that are asked to set memory aside for one request. */
+const MAX_MEMORY_ROUNDS = 4;
+
+/** Pause between two looks for room, which cost processor time. */
+const ROOM_CHECK_INTERVAL_MS = 50;
+
+/** Sends requests to endpoints, at once, in turn or once there is room. */
+export interface Dispatcher {
+  dispatch(ctx: GatewayContext, req: ForwardedRequest): void;
+  /** Goes on with a request that waits for its turn or for room. */
+  proceed(ctx: GatewayContext, req: ForwardedRequest): void;
+  /** All memory of a request is set aside. */
+  memoryReady(ctx: GatewayContext, reqId: string, set: TicketSet): void;
+  /** An engine would not set memory aside. */
+  memoryRefused(ctx: GatewayContext, reqId: string, engine: string): void;
+}
+
+/** What the dispatcher works on. */
+export interface DispatcherParts {
+  requests: Map<string, ForwardedRequest>;
+  configuration: PublishedConfiguration;
+  selection: EndpointSelection;
+  health: EndpointHealth;
+  members: FleetMembers;
+  gossip: FleetGossip;
+  tickets: Pick<Tickets, 'begin' | 'release'>;
+  end: RequestEnd;
+  /** Peer address of this gateway. */
+  self: string;
+}
+
+/** Creates a dispatcher. */
+export function createDispatcher(parts: DispatcherParts): Dispatcher {
+  const {requests, configuration, selection, health, members, gossip} = parts;
+  const {tickets, end} = parts;
+  let works = 0;
+
+  function dispatch(ctx: GatewayContext, req: ForwardedRequest): void {
+    const {nowMs, random} = ctx;
+    const wanted = choiceRequestOf(req, nowMs);
+    const {service, failedAt} = req;
+    const choice = selection.select(nowMs, service, wanted, failedAt, random);
+    if (!choice) return awaitRoom(ctx, req);
+    req.roomCheckMs = undefined;
+    if (choice.startInMs >= LEAST_WAIT_MS) return plan(ctx, req, choice);
+    begin(ctx, req, choice);
+  }
+
+  /** Keeps a request for a while for which no endpoint has room. */
+  function awaitRoom(ctx: GatewayContext, req: ForwardedRequest): void {
+    const {nowMs} = ctx;
+    if (req.roomCheckMs === undefined) {
+      const pool = selection.pool(nowMs, req.service);
+      logNoRoute(ctx, req, pool, configuration.version());
+    }
+    if (nowMs >= roomWaitEndMs(req)) end.giveUp(ctx, req, 'overloaded');
+    else req.roomCheckMs = nowMs + ROOM_CHECK_INTERVAL_MS;
+  }
+
+  /** Takes a turn on engines that read other prompts first. */
+  function plan(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    choice: EndpointChoice,
+  ): void {
+    const startMs = ctx.nowMs + choice.startInMs;
+    const work = tellWork(ctx, req, choice, startMs);
+    req.planned = {choice, startMs, work, delays: 0};
+    logRoute(ctx, req, choice, 'WL8305', configuration.version());
+  }
+
+  function proceed(ctx: GatewayContext, req: ForwardedRequest): void {
+    if (req.planned) startPlanned(ctx, req, req.planned);
+    else if (ctx.nowMs >= (req.roomCheckMs ?? Number.POSITIVE_INFINITY)) {
+      dispatch(ctx, req);
+    }
+  }
+
+  function startPlanned(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    planned: PlannedStart,
+  ): void {
+    if (ctx.nowMs < planned.startMs) return;
+    const {choice} = planned;
+    if (!selection.usable(ctx.nowMs, req.service, choice)) {
+      end.dropPlan(req);
+      return dispatch(ctx, req);
+    }
+    const {nowMs} = ctx;
+    const own = planned.work;
+    const busyMs = selection.busyMs(nowMs, req.service, choice, own);
+    if (busyMs >= LEAST_WAIT_MS && planned.delays < MAX_DELAYS) {
+      planned.delays += 1;
+      planned.startMs = ctx.nowMs + Math.min(busyMs, LONGEST_DELAY_MS);
+      return;
+    }
+    begin(ctx, req, choice);
+  }
+
+  function begin(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    choice: EndpointChoice,
+  ): void {
+    if (choice.helperTokens > 0) {
+      if (req.planned) req.planned.startMs = Number.POSITIVE_INFINITY;
+      tickets.begin(ctx, req.reqId, choice);
+    } else start(ctx, req, choice, '');
+  }
+
+  function memoryReady(
+    ctx: GatewayContext,
+    reqId: string,
+    set: TicketSet,
+  ): void {
+    const req = requests.get(reqId);
+    if (req) start(ctx, req, set.choice, set.ticket);
+    else tickets.release(ctx, reqId);
+  }
+
+  function memoryRefused(
+    ctx: GatewayContext,
+    reqId: string,
+    engine: string,
+  ): void {
+    const req = requests.get(reqId);
+    if (!req) return;
+    end.dropPlan(req);
+    req.failedAt.add(engine);
+    req.refusedRounds += 1;
+    if (req.refusedRounds >= MAX_MEMORY_ROUNDS)
+      end.giveUp(ctx, req, 'overloaded');
+    else dispatch(ctx, req);
+  }
+
+  function start(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    choice: EndpointChoice,
+    ticket: string,
+  ): void {
+    const {nowMs} = ctx;
+    const work = req.planned?.work ?? tellWork(ctx, req, choice, nowMs);
+    req.planned = undefined;
+    req.attempts += 1;
+    req.history.started();
+    req.current = {
+      attempt: req.attempts,
+      choice,
+      work: work.work,
+      startedMs: nowMs,
+      progressMs: nowMs,
+      shortestGapMs: Number.POSITIVE_INFINITY,
+      pieces: 0,
+    };
+    health.tried(choice.main.id, nowMs);
+    ctx.emit(
+      startAttemptOf(req, choice, ticket, maxConnections(nowMs, req), nowMs),
+    );
+    logRoute(ctx, req, choice, 'WL8301', configuration.version());
+  }
+
+  /** Tells peers of work that is or will be sent to endpoints. */
+  function tellWork(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    choice: EndpointChoice,
+    startedMs: number,
+  ): Work {
+    works += 1;
+    const wanted = choiceRequestOf(req, ctx.nowMs);
+    const {self} = parts;
+    const work = workOf(self, works, choice, wanted, ctx.nowMs, startedMs);
+    gossip.started(work);
+    return work;
+  }
+
+  function maxConnections(nowMs: number, req: ForwardedRequest): number {
+    const limit = configuration.service(req.service)?.connectionLimit ?? 0;
+    return Math.max(1, Math.floor(limit / members.size(nowMs)));
+  }
+
+  return {dispatch, proceed, memoryReady, memoryRefused};
+}
--- a/packages/core/src/forwarding/forwarded_request.ts
+++ b/packages/core/src/forwarding/forwarded_request.ts
@@ -23,6 +23,8 @@
   attempts: number;
   current: CurrentAttempt | undefined;
   planned: PlannedStart | undefined;
+  /** Steady clock; next look for room; undefined if it waits for none. */
+  roomCheckMs: number | undefined;
   /** Endpoints that failed this request. */
   failedAt: Set<string>;
   /** Times that engines would not set memory aside for it. */
--- /dev/null
+++ b/packages/core/src/forwarding/request_end.ts
@@ -0,0 +1,77 @@
+import type {FleetGossip} from '../fleet/fleet_gossip.js';
+import type {GatewayContext} from '../gateway/gateway_context.js';
+import type {Tickets} from '../tickets/tickets.js';
+import type {ForwardedRequest} from './forwarded_request.js';
+import type {Refusal} from './refusal.js';
+import {reportEnd} from './report_end.js';
+import {RETRY_AFTER_MS} from './retry_after.js';
+
+/** Final answers and the release of what a request holds. */
+export interface RequestEnd {
+  /** Answers with a failure of this gateway's own. */
+  giveUp(ctx: GatewayContext, req: ForwardedRequest, refusal: Refusal): void;
+  /** Forgets a request that has its final answer. */
+  finish(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    outcome: string,
+    detail: string,
+  ): void;
+  /** Ends the attempt that runs. */
+  cancel(ctx: GatewayContext, req: ForwardedRequest): void;
+  /** Forgets a planned start and tells peers. */
+  dropPlan(req: ForwardedRequest): void;
+}
+
+/** What the end of a request works on. */
+export interface RequestEndParts {
+  requests: Map<string, ForwardedRequest>;
+  gossip: FleetGossip;
+  tickets: Pick<Tickets, 'release'>;
+}
+
+/** Creates the end of requests. */
+export function createRequestEnd(parts: RequestEndParts): RequestEnd {
+  const {requests, gossip, tickets} = parts;
+
+  function dropPlan(req: ForwardedRequest): void {
+    if (req.planned) gossip.ended(req.planned.work.work);
+    req.planned = undefined;
+  }
+
+  function finish(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    outcome: string,
+    detail: string,
+  ): void {
+    if (req.current) gossip.ended(req.current.work);
+    dropPlan(req);
+    tickets.release(ctx, req.reqId);
+    requests.delete(req.reqId);
+    reportEnd(ctx, req, outcome, detail);
+  }
+
+  function giveUp(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    refusal: Refusal,
+  ): void {
+    const {reqId} = req;
+    if (req.begun) ctx.emit({kind: 'break_stream', reqId});
+    else {
+      const retryAfterMs =
+        refusal === 'overloaded' ? RETRY_AFTER_MS : undefined;
+      ctx.emit({kind: 'refuse', reqId, refusal, retryAfterMs});
+    }
+    finish(ctx, req, 'failed', refusal);
+  }
+
+  function cancel(ctx: GatewayContext, req: ForwardedRequest): void {
+    if (!req.current) return;
+    const {attempt} = req.current;
+    ctx.emit({kind: 'cancel_attempt', reqId: req.reqId, attempt});
+  }
+
+  return {giveUp, finish, cancel, dropPlan};
+}
--- /dev/null
+++ b/packages/core/src/forwarding/room_wait.ts
@@ -0,0 +1,14 @@
+import type {ForwardedRequest} from './forwarded_request.js';
+
+/**
+ * Part of the target within which a request may wait for room on engines. The
+ * caller's own repeat is likelier to be in time after a longer wait.
+ */
+const ROOM_WAIT_SHARE = 1 / 8;
+
+/** Until when a request for which no endpoint has room is kept. */
+export function roomWaitEndMs(req: ForwardedRequest): number {
+  // Nothing else can finish a stream that has begun.
+  if (req.begun) return req.deadlineMs;
+  return req.arrivedMs + req.route.targetLatencyMs * ROOM_WAIT_SHARE;
+}
--- a/packages/core/src/shared/log_events.ts
+++ b/packages/core/src/shared/log_events.ts
@@ -201,6 +201,12 @@
     text: 'request waits for its engines',
     action: 'None; shows when it is to be sent and where.',
   },
+  WL8306: {
+    level: 'warn',
+    text: 'no endpoint has room for a request',
+    action:
+      'If sound is below registered, see WL8201; otherwise start endpoints.',
+  },
   WL8401: {
     level: 'warn',
     text: 'memory of an engine not set aside',
--- a/packages/core/src/spread/endpoint_selection.ts
+++ b/packages/core/src/spread/endpoint_selection.ts
@@ -14,6 +14,7 @@
 import type {EndpointChooser} from './endpoint_chooser.js';
 import {LeastLoss} from './least_loss.js';
 import {LeastWork} from './least_work.js';
+import type {PoolReport} from './pool_report.js';
 
 /** Finds the endpoint of a request among those that may take work. */
 export interface EndpointSelection {
@@ -24,6 +25,8 @@
     avoid: ReadonlySet<string>,
     random: RandomSource,
   ): EndpointChoice | undefined;
+  /** What is there where `select` found nothing. */
+  pool(nowMs: number, service: string): PoolReport;
   /** Whether all endpoints of a choice may still take work. */
   usable(nowMs: number, service: string, choice: EndpointChoice): boolean;
   /**
@@ -111,7 +114,23 @@
     return Math.max(...waits);
   }
 
+  function pool(nowMs: number, service: string): PoolReport {
+    const spec = configuration.service(service);
+    const usable = registry.usable(service);
+    const memory = spec?.engine?.memoryTokens ?? 0;
+    const free = usable
+      .map(entry => candidate(nowMs, entry, spec).load?.heldTokens ?? 0)
+      .map(held => Math.max(0, memory - held));
+    return {
+      registered: usable.length,
+      sound: usable.filter(({id}) => !health.aside(id, nowMs)).length,
+      freeTokens: free.reduce((sum, tokens) => sum + tokens, 0),
+      roomiestTokens: Math.max(0, ...free),
+    };
+  }
+
   return {
+    pool,
     usable: (nowMs, service, {main, helpers}) => {
       const ids = new Set(registry.usable(service).map(({id}) => id));
       return [main, ...helpers].every(
--- a/scripts/fleet/gateway_fleet.mjs
+++ b/scripts/fleet/gateway_fleet.mjs
@@ -94,7 +94,8 @@
     }
     await Promise.all(processes.map(gateway => gateway.exited));
     await platform.close();
-    rmSync(dir, {recursive: true, force: true});
+    if (process.env.WL_KEEP_LOGS) console.log(`logs: ${dir}`);
+    else rmSync(dir, {recursive: true, force: true});
   }
 
   const gateways = [];
