--- a/packages/core/src/store_watch/store_watch.ts
+++ b/packages/core/src/store_watch/store_watch.ts
@@ -1,7 +1,5 @@
 import type {PublishedConfiguration} from '../configuration/published_configuration.js';
 import type {FleetMembers} from '../fleet/fleet_members.js';
-import type {StateCopy} from '../fleet/messages/state_copy.js';
-import type {StoreNews} from '../fleet/messages/store_news.js';
 import type {ConfigurationRead} from '../gateway/events/configuration_read.js';
 import type {PeerReceived} from '../gateway/events/peer_received.js';
 import type {RegistryRead} from '../gateway/events/registry_read.js';
@@ -10,9 +8,13 @@
 import type {GatewayFeature} from '../gateway/gateway_feature.js';
 import type {EndpointRegistry} from '../registry/endpoint_registry.js';
 import type {EntryChange} from '../registry/entry_change.js';
+import {adoptConfiguration} from './adopt_configuration.js';
 import {chooseReader} from './choose_reader.js';
+import {createPeerNews} from './peer_news.js';
 import {createRecentChanges} from './recent_changes.js';
-import {createStorePosition, type StorePosition} from './store_position.js';
+import {createStateCopies} from './state_copies.js';
+import type {StorePosition} from './store_position.js';
+import {ageOf, createStorePositions} from './store_positions.js';
 
 /** Pause between two reads of the gateway that reads for all. */
 const READ_INTERVAL_MS = 500;
@@ -26,9 +28,6 @@
 const RELISTING_MS = 2_000;
 /** Time after its start in which a process counts on the store alone. */
 const FIRST_READ_MS = 250;
-/** Pause between two requests for another gateway's copy. */
-const PULL_INTERVAL_MS = 400;
-
 /** Keeps the configuration and the registry up to date. */
 export interface StoreWatch extends GatewayFeature {
   /** Whether this process has a configuration and a list of endpoints. */
@@ -53,15 +52,22 @@
 /** Creates a watch that has read nothing. */
 export function createStoreWatch(parts: StoreWatchParts): StoreWatch {
   const {self, members, configuration, registry} = parts;
-  const positions: Record<'configuration' | 'registry', StorePosition> = {
-    configuration: createStorePosition(),
-    registry: createStorePosition(),
-  };
+  const positions = createStorePositions();
   const recent = createRecentChanges();
+  const copies = createStateCopies({...parts, positions});
+  const news = createPeerNews({
+    ...parts,
+    positions,
+    recent,
+    copies,
+    reachable: () => reachable,
+    reads,
+    ask,
+    registryChanged,
+  });
   let reachable = false;
   let failedSinceSuccess = false;
   let polledMs = Number.NEGATIVE_INFINITY;
-  let pulledMs = Number.NEGATIVE_INFINITY;
   let startedMs: number | undefined;
 
   /** The store would have answered by now if it could. */
@@ -140,7 +146,7 @@
       const fields = {reachable, call, failure};
       ctx.emit({kind: 'write_log', event: 'WL8002', fields});
     }
-    if (!loaded()) pullFromAny(ctx);
+    if (!loaded()) copies.pullFromAny(ctx);
   }
 
   function configurationRead(
@@ -151,28 +157,11 @@
     answered(ctx, position);
     position.next = Math.max(position.next ?? 0, event.nextOffset);
     position.mustList = false;
-    if (event.configuration) adopt(ctx, event.configuration, 'store');
-    tell(ctx);
-  }
-
-  function adopt(
-    ctx: GatewayContext,
-    next: NonNullable<ConfigurationRead['configuration']>,
-    source: string,
-  ): void {
-    const before = configuration.version();
-    if (!configuration.adopt(next)) return;
-    ctx.emit({
-      kind: 'write_log',
-      event: 'WL8001',
-      fields: {
-        version: next.version,
-        before,
-        source,
-        routes: next.routes.length,
-      },
-    });
-    parts.configured(ctx);
+    const {configuration: next} = event;
+    if (next && adoptConfiguration(ctx, configuration, next, 'store')) {
+      parts.configured(ctx);
+    }
+    news.tell(ctx);
   }
 
   function registryRead(ctx: GatewayContext, event: RegistryRead): void {
@@ -195,7 +184,7 @@
       recent.add(ctx.nowMs, event.nextOffset, applied);
       if (applied.length > 0) registryChanged(ctx, applied);
     }
-    tell(ctx);
+    news.tell(ctx);
   }
 
   function registryChanged(ctx: GatewayContext, changes: EntryChange[]): void {
@@ -207,136 +196,21 @@
     parts.registered(ctx);
   }
 
-  /** Tells the others what was read, if this gateway reads for all. */
-  function tell(ctx: GatewayContext): void {
-    const {nowMs} = ctx;
-    const {next: registryOffset} = positions.registry;
-    const {next: configurationOffset} = positions.configuration;
-    if (registryOffset === undefined || configurationOffset === undefined) {
-      return;
-    }
-    if (!reads(nowMs)) return;
-    const to = members.alive(nowMs).map(({address}) => address);
-    if (to.length === 0) return;
-    ctx.emit({
-      kind: 'send_peers',
-      to,
-      message: {
-        kind: 'store_news',
-        configurationOffset,
-        registryOffset,
-        registryFromOffset: recent.fromOffset(),
-        changes: recent.list(nowMs),
-        ageMs: ageMs(nowMs),
-      },
-    });
-  }
-
   function received(ctx: GatewayContext, event: PeerReceived): void {
     const {from, message} = event;
-    if (!loaded() && waitedLong(ctx.nowMs)) pull(ctx, from);
+    if (!loaded() && waitedLong(ctx.nowMs)) copies.pull(ctx, from);
     switch (message.kind) {
       case 'store_news':
-        return newsReceived(ctx, from, message);
+        return news.newsReceived(ctx, from, message);
       case 'state_pull':
-        return sendCopy(ctx, from, message.configurationVersion);
+        return copies.sendCopy(ctx, from, message.configurationVersion);
       case 'state_copy':
-        return copyReceived(ctx, message);
+        return copies.copyReceived(ctx, message);
       default:
         return;
     }
   }
 
-  function newsReceived(
-    ctx: GatewayContext,
-    from: string,
-    news: StoreNews,
-  ): void {
-    const {configuration: config, registry: entries} = positions;
-    const freshMs = ctx.nowMs - news.ageMs;
-    const behind =
-      config.next === undefined || news.configurationOffset > config.next;
-    if (!behind) config.freshMs = Math.max(config.freshMs, freshMs);
-    const known = entries.next;
-    const covered = known !== undefined && known >= news.registryFromOffset;
-    if (covered && news.registryOffset > known) {
-      const applied = news.changes.filter(change =>
-        registry.apply(ctx.nowMs, change),
-      );
-      entries.next = news.registryOffset;
-      entries.mustList = true;
-      if (applied.length > 0) registryChanged(ctx, applied);
-    }
-    if (covered) entries.freshMs = Math.max(entries.freshMs, freshMs);
-    if (!behind && covered) return;
-    if (!reachable) pull(ctx, from);
-    if (behind) ask(ctx, 'configuration');
-    if (!covered) ask(ctx, 'registry');
-  }
-
-  function pullFromAny(ctx: GatewayContext): void {
-    const [peer] = members.alive(ctx.nowMs);
-    if (peer) pull(ctx, peer.address);
-  }
-
-  function pull(ctx: GatewayContext, from: string): void {
-    if (ctx.nowMs - pulledMs < PULL_INTERVAL_MS) return;
-    pulledMs = ctx.nowMs;
-    ctx.emit({
-      kind: 'send_peers',
-      to: [from],
-      message: {
-        kind: 'state_pull',
-        configurationVersion: configuration.version(),
-      },
-    });
-  }
-
-  function sendCopy(ctx: GatewayContext, to: string, version: number): void {
-    const {next: configurationOffset} = positions.configuration;
-    const {next: registryOffset} = positions.registry;
-    const current = configuration.current();
-    if (
-      !current ||
-      configurationOffset === undefined ||
-      registryOffset === undefined
-    ) {
-      return;
-    }
-    ctx.emit({
-      kind: 'send_peers',
-      to: [to],
-      message: {
-        kind: 'state_copy',
-        configurationOffset,
-        configuration: current.version > version ? current : undefined,
-        registryOffset,
-        entries: registry.entries(),
-        ageMs: ageMs(ctx.nowMs),
-      },
-    });
-  }
-
-  function copyReceived(ctx: GatewayContext, copy: StateCopy): void {
-    const {configuration: config, registry: entries} = positions;
-    const freshMs = ctx.nowMs - copy.ageMs;
-    if (copy.configuration) adopt(ctx, copy.configuration, 'peer');
-    config.next = Math.max(config.next ?? 0, copy.configurationOffset);
-    config.freshMs = Math.max(config.freshMs, freshMs);
-    if (entries.next !== undefined && copy.registryOffset <= entries.next) {
-      return;
-    }
-    const changes = copy.entries.map(entry => ({
-      id: entry.id,
-      entry,
-      unreadable: false,
-    }));
-    entries.next = copy.registryOffset;
-    entries.freshMs = Math.max(entries.freshMs, freshMs);
-    entries.mustList = true;
-    if (registry.list(ctx.nowMs, changes)) parts.registered(ctx);
-  }
-
   function loaded(): boolean {
     return (
       configuration.current() !== undefined &&
@@ -345,11 +219,7 @@
   }
 
   function ageMs(nowMs: number): number {
-    const freshMs = Math.min(
-      positions.registry.freshMs,
-      positions.configuration.freshMs,
-    );
-    return nowMs - freshMs;
+    return ageOf(positions, nowMs);
   }
 
   return {
