--- a/scripts/fleet/gateway_fleet.mjs
+++ b/scripts/fleet/gateway_fleet.mjs
@@ -27,10 +27,15 @@
   gateways: count = 2,
   engines = 4,
   services = 2,
+  memoryTokens,
   storeAddress,
 } = {}) {
   const dir = mkdtempSync(join(tmpdir(), 'wl-gateway-'));
-  const platform = await startDoublePlatform({engines, services});
+  const platform = await startDoublePlatform({
+    engines,
+    services,
+    memoryTokens,
+  });
   const port = await freePort();
   const processes = [];
   const seeds = Array.from({length: count}, (_, i) => `127.0.0.${i + 2}:1`);
--- a/scripts/fleet/platform_demo.mjs
+++ b/scripts/fleet/platform_demo.mjs
@@ -1,5 +1,6 @@
 // The demo on the users' platform: gateways as processes on loopback before
-// stand-ins of store, engines and services, with faults. A seed can be given.
+// stand-ins of store, engines and services, with faults. Arguments: a seed and
+// the memory of an engine in tokens.
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createSeededRandom} from '../../packages/runtime/dist/loop/seeded_random.js';
 import {runLoad} from '../../platform/dist/mocks/double_load.js';
@@ -8,6 +9,8 @@
 import {startGatewayFleet} from './gateway_fleet.mjs';
 
 const LOAD_MS = 16_000;
+/** Memory of an engine, as at the users. */
+const ENGINE_MEMORY_TOKENS = 315_000;
 /** A balancer asks this often which gateways are ready. */
 const PROBE_INTERVAL_MS = 200;
 
@@ -47,12 +50,15 @@
 }
 
 async function main() {
-  const seed = Number(process.argv[2] ?? 1);
+  const [seed = 1, memoryTokens = ENGINE_MEMORY_TOKENS] = process.argv
+    .slice(2)
+    .map(Number);
   say('starting 3 gateways before 6 engines and 2 services');
   const fleet = await startGatewayFleet({
     gateways: 3,
     engines: 6,
     services: 2,
+    memoryTokens,
   });
   try {
     process.exitCode = (await run(fleet, seed)) ? 0 : 1;
