Keep to the repeat allowance when gateways start anew or lose each other

A gateway took an even share among those it heard, so gateways that were cut off from each other, or all started at once, each took the whole of it, and a restart gave a second share in the same window. Silent gateways now count until they are forgotten, and a process uses a quarter of its share of the extra repeats in its first window. A peer that falls silent is logged (WL8102).

--- a/packages/core/src/fleet/fleet_gossip.test.ts
+++ b/packages/core/src/fleet/fleet_gossip.test.ts
@@ -147,6 +147,17 @@
   }
 });
 
+test('a gateway that falls silent is logged once', () => {
+  const gateway = twoEngines();
+  gateway.step(fromPeer(beat()));
+  const lines = Array.from({length: 6}, () =>
+    gateway.step({kind: 'tick'}, 1_000),
+  )
+    .flat()
+    .filter(a => a.kind === 'write_log' && a.event === 'WL8102');
+  assert.equal(lines.length, 1);
+});
+
 test('messages of an earlier start are dropped', () => {
   const gateway = twoEngines();
   gateway.step(fromPeer(beat(), 5));
--- a/packages/core/src/fleet/fleet_gossip.ts
+++ b/packages/core/src/fleet/fleet_gossip.ts
@@ -6,9 +6,9 @@
 import type {FleetMembers} from './fleet_members.js';
 import type {MemberRecord} from './member_record.js';
 import type {Beat} from './messages/beat.js';
-import type {WorkUpdate} from './messages/work_update.js';
 import type {Work} from './work.js';
 import type {WorkBoard} from './work_board.js';
+import {createWorkNews} from './work_news.js';
 import {noticeOf, workOf} from './work_notices.js';
 
 /** Pause between two beats. */
@@ -41,8 +41,9 @@
   let beatMs = Number.NEGATIVE_INFINITY;
   let contactMs = Number.NEGATIVE_INFINITY;
   let announceMs = Number.NEGATIVE_INFINITY;
+  const living = new Set<string>();
   let introduced: 'no' | 'announced' | 'yes' = 'no';
-  let pending = emptyUpdate();
+  const news = createWorkNews(self.address, members, board);
 
   function expire(ctx: GatewayContext): void {
     const {nowMs} = ctx;
@@ -51,7 +52,7 @@
     }
     if (nowMs - beatMs >= BEAT_INTERVAL_MS) {
       beatMs = nowMs;
-      forgetDead(nowMs);
+      forgetDead(ctx);
       sendBeat(ctx, addresses(members.alive(nowMs)), false);
     }
     if (nowMs - contactMs >= CONTACT_INTERVAL_MS) {
@@ -71,12 +72,27 @@
     }
   }
 
-  function forgetDead(nowMs: number): void {
-    members.prune(nowMs);
+  function forgetDead(ctx: GatewayContext): void {
+    const {nowMs} = ctx;
     const alive = new Set(addresses(members.alive(nowMs)));
-    for (const {address} of members.all()) {
-      if (!alive.has(address)) board.replace(address, []);
+    for (const {address, heardMs} of members.all()) {
+      if (alive.has(address)) living.add(address);
+      else {
+        board.replace(address, []);
+        if (living.delete(address)) logSilent(ctx, address, heardMs);
+      }
     }
+    members.prune(nowMs);
+  }
+
+  function logSilent(
+    ctx: GatewayContext,
+    member: string,
+    heardMs: number | undefined,
+  ): void {
+    const silentMs = Math.round(ctx.nowMs - (heardMs ?? ctx.nowMs));
+    const fields = {member, silentMs};
+    ctx.emit({kind: 'write_log', event: 'WL8102', fields});
   }
 
   function membersRead(ctx: GatewayContext, event: MembersRead): void {
@@ -99,7 +115,9 @@
       ctx.emit({kind: 'write_log', event: 'WL8101', fields});
     }
     if (message.kind === 'beat') beatReceived(ctx, from, message);
-    if (message.kind === 'work_update') updateReceived(ctx, from, message);
+    if (message.kind === 'work_update') {
+      news.updateReceived(ctx, from, message);
+    }
   }
 
   function beatReceived(ctx: GatewayContext, from: string, beat: Beat): void {
@@ -112,18 +130,6 @@
     if (beat.wantsReply) sendBeat(ctx, [from], false);
   }
 
-  function updateReceived(
-    ctx: GatewayContext,
-    from: string,
-    update: WorkUpdate,
-  ): void {
-    for (const notice of update.started) {
-      board.add(workOf(notice, from, ctx.nowMs));
-    }
-    for (const work of update.writing) board.writing(from, work);
-    for (const work of update.ended) board.remove(from, work);
-  }
-
   function sendBeat(
     ctx: GatewayContext,
     to: string[],
@@ -145,23 +151,6 @@
     });
   }
 
-  function settle(ctx: GatewayContext): void {
-    const {started, writing, ended} = pending;
-    if (started.length + writing.length + ended.length === 0) return;
-    const to = addresses(members.alive(ctx.nowMs));
-    if (to.length > 0) {
-      const notices = started.map(work => noticeOf(work, ctx.nowMs));
-      const message: WorkUpdate = {
-        kind: 'work_update',
-        started: notices,
-        writing,
-        ended,
-      };
-      ctx.emit({kind: 'send_peers', to, message});
-    }
-    pending = emptyUpdate();
-  }
-
   function failed(_ctx: GatewayContext, event: StoreFailed): void {
     // A failed call of either kind is repeated by `expire`.
     if (event.call === 'members') introduced = 'announced';
@@ -184,32 +173,13 @@
       }
     },
     expire,
-    settle,
-    started: work => {
-      board.add(work);
-      pending.started.push(work);
-    },
-    writing: work => {
-      board.writing(self.address, work);
-      pending.writing.push(work);
-    },
-    ended: work => {
-      board.remove(self.address, work);
-      pending.ended.push(work);
-    },
+    settle: ctx => news.settle(ctx),
+    started: work => news.started(work),
+    writing: work => news.writing(work),
+    ended: work => news.ended(work),
   };
 }
 
-interface PendingUpdate {
-  started: Work[];
-  writing: number[];
-  ended: number[];
-}
-
-function emptyUpdate(): PendingUpdate {
-  return {started: [], writing: [], ended: []};
-}
-
 function addresses(members: {address: string}[]): string[] {
   return members.map(({address}) => address);
 }
--- a/packages/core/src/fleet/fleet_members.ts
+++ b/packages/core/src/fleet/fleet_members.ts
@@ -19,6 +19,11 @@
   alive(nowMs: number): GatewayMember[];
   /** Gateways that are alive, this one included. */
   size(nowMs: number): number;
+  /**
+   * Gateways that may be alive, this one included: also those that are silent
+   * and not forgotten.
+   */
+  known(): number;
   /** Forgets members that were silent for long; returns their addresses. */
   prune(nowMs: number): string[];
 }
@@ -79,6 +84,7 @@
     all: () => members.values(),
     alive,
     size: nowMs => alive(nowMs).length + 1,
+    known: () => members.size + 1,
     prune,
   };
 }
--- a/packages/core/src/forwarding/attempt_failures.ts
+++ b/packages/core/src/forwarding/attempt_failures.ts
@@ -107,7 +107,7 @@
     const free = failure === 'connect_failed';
     const denial =
       retryDenial(req, nowMs) ??
-      (free || allowance.tryTake(nowMs, req.service, members.size(nowMs))
+      (free || allowance.tryTake(nowMs, req.service, members.known())
         ? undefined
         : 'allowance_used');
     if (denial === undefined) return true;
@@ -128,7 +128,7 @@
     // Nothing is gained by ending an attempt that cannot be replaced.
     if (retryDenial(req, ctx.nowMs)) return;
     current.progressMs = ctx.nowMs;
-    const gateways = members.size(ctx.nowMs);
+    const gateways = members.known();
     if (allowance.left(ctx.nowMs, req.service, gateways) < 1) return;
     end.cancel(ctx, req);
     attemptFailed(ctx, req, current, 'broken', 'silent');
--- a/packages/core/src/forwarding/retry_allowance.ts
+++ b/packages/core/src/forwarding/retry_allowance.ts
@@ -4,7 +4,7 @@
   requested(nowMs: number, service: string): void;
   /**
    * Takes one repeat; false if the share of this gateway is used up.
-   * @param gateways gateways that share the allowance
+   * @param gateways gateways that may share the allowance
    */
   tryTake(nowMs: number, service: string, gateways: number): boolean;
   /** Repeats that are left to this gateway. */
@@ -23,6 +23,12 @@
 /** Part of the allowance that is used, since gateways count separately. */
 const USED_SHARE = 0.8;
 
+/**
+ * Part of its share that a process uses in its first window: the one that ran
+ * here before may have used its own just then.
+ */
+const FIRST_WINDOW_SHARE = 0.25;
+
 interface Counts {
   requests: number[];
   repeats: number[];
@@ -36,6 +42,7 @@
   current: () => RetryAllowanceConfig,
 ): RetryAllowance {
   const services = new Map<string, Counts>();
+  let startedMs: number | undefined;
 
   function of(nowMs: number, service: string): Counts {
     let counts = services.get(service);
@@ -51,8 +58,11 @@
 
   function left(nowMs: number, service: string, gateways: number): number {
     const {requests, repeats} = of(nowMs, service);
-    const {ratio, extra} = current();
-    const own = requests.length * ratio + extra / gateways;
+    const {ratio, extra, windowMs} = current();
+    startedMs ??= nowMs;
+    const first = nowMs - startedMs < windowMs;
+    const share = (extra / gateways) * (first ? FIRST_WINDOW_SHARE : 1);
+    const own = requests.length * ratio + share;
     return own * USED_SHARE - repeats.length;
   }
 
--- a/packages/core/src/gateway/describe_gateway.ts
+++ b/packages/core/src/gateway/describe_gateway.ts
@@ -32,7 +32,7 @@
 ): GatewayStatus {
   const {configuration, members, allowance} = parts;
   const ageMs = parts.knowledgeAgeMs(nowMs);
-  const gateways = members.size(nowMs);
+  const gateways = members.known();
   const services = configuration.current()?.services ?? [];
   return {
     address: parts.address,
--- a/packages/core/src/shared/log_events.ts
+++ b/packages/core/src/shared/log_events.ts
@@ -170,6 +170,11 @@
     text: 'gateway heard',
     action: 'None; shows its address and the start it belongs to.',
   },
+  WL8102: {
+    level: 'warn',
+    text: 'gateway silent, its work no longer counts',
+    action: 'Check the VM if it was not stopped or replaced.',
+  },
   WL8201: {
     level: 'warn',
     text: 'endpoint put aside',
