Tell changes of work through a relay in large fleets

Above 12 gateways changes now go to the gateway with the highest address, which passes them on each 40 ms; a sender that does not see its own changes come back within 300 ms tells all directly for 2 s. The reader of the store tells what it read once a read instead of twice, and who reads is looked up each 20 ms, not at each event.

Ruled out: longer gathering at the sender, which merges little at one request a second and gateway.

--- a/packages/core/src/fleet/fleet_gossip.test.ts
+++ b/packages/core/src/fleet/fleet_gossip.test.ts
@@ -130,6 +130,7 @@
         started: [],
         writing: [],
         ended: [],
+        passOn: false,
       };
       gateway.step(fromPeer(update, 2));
     },
--- a/packages/core/src/fleet/fleet_gossip.ts
+++ b/packages/core/src/fleet/fleet_gossip.ts
@@ -43,10 +43,11 @@
   let announceMs = Number.NEGATIVE_INFINITY;
   const living = new Set<string>();
   let introduced: 'no' | 'announced' | 'yes' = 'no';
-  const news = createWorkNews(self.address, members, board);
+  const news = createWorkNews(parts);
 
   function expire(ctx: GatewayContext): void {
     const {nowMs} = ctx;
+    news.expire(ctx);
     if (introduced !== 'yes' && nowMs - announceMs >= ANNOUNCE_RETRY_MS) {
       introduce(ctx);
     }
@@ -118,6 +119,9 @@
     if (message.kind === 'work_update') {
       news.updateReceived(ctx, from, message);
     }
+    if (message.kind === 'work_digest') {
+      news.digestReceived(ctx, message);
+    }
   }
 
   function beatReceived(ctx: GatewayContext, from: string, beat: Beat): void {
--- a/packages/core/src/fleet/messages/peer_message.ts
+++ b/packages/core/src/fleet/messages/peer_message.ts
@@ -3,8 +3,15 @@
 import type {StateCopy} from './state_copy.js';
 import type {StatePull} from './state_pull.js';
 import type {StoreNews} from './store_news.js';
+import type {WorkDigest} from './work_digest.js';
 import type {WorkUpdate} from './work_update.js';
 
 /** Every message between gateways. */
 export type PeerMessage =
-  Beat | EndpointDoubt | StateCopy | StatePull | StoreNews | WorkUpdate;
+  | Beat
+  | EndpointDoubt
+  | StateCopy
+  | StatePull
+  | StoreNews
+  | WorkDigest
+  | WorkUpdate;
--- /dev/null
+++ b/packages/core/src/fleet/messages/work_digest.ts
@@ -0,0 +1,7 @@
+import type {MemberChanges} from './member_changes.js';
+
+/** Changes that other gateways asked the sender to pass on, and its own. */
+export interface WorkDigest {
+  kind: 'work_digest';
+  changes: MemberChanges[];
+}
--- a/packages/core/src/fleet/messages/work_update.ts
+++ b/packages/core/src/fleet/messages/work_update.ts
@@ -1,10 +1,8 @@
-import type {WorkNotice} from './work_notice.js';
+import type {WorkChanges} from './work_changes.js';
 
 /** What changed in the sender's work since its last message. */
-export interface WorkUpdate {
+export interface WorkUpdate extends WorkChanges {
   kind: 'work_update';
-  started: WorkNotice[];
-  /** Work whose first piece has arrived. */
-  writing: number[];
-  ended: number[];
+  /** Whether the receiver is asked to pass it on to all others. */
+  passOn: boolean;
 }
--- /dev/null
+++ b/packages/core/src/fleet/relay_trust.ts
@@ -0,0 +1,34 @@
+/** A relay that passes nothing on for so long is not used for a while. */
+const UNCONFIRMED_MS = 300;
+const DISTRUST_MS = 2_000;
+
+/** Whether the relay passes on what it is sent. */
+export interface RelayTrust {
+  trusted(nowMs: number): boolean;
+  /** A change was sent to the relay. */
+  sent(nowMs: number): void;
+  /** The relay has passed changes on. */
+  confirmed(): void;
+}
+
+/** Creates the trust in a relay that has not failed yet. */
+export function createRelayTrust(): RelayTrust {
+  let unconfirmedMs: number | undefined;
+  let distrustedUntilMs = Number.NEGATIVE_INFINITY;
+
+  return {
+    trusted: nowMs => {
+      if (nowMs - (unconfirmedMs ?? nowMs) >= UNCONFIRMED_MS) {
+        distrustedUntilMs = nowMs + DISTRUST_MS;
+        unconfirmedMs = undefined;
+      }
+      return nowMs >= distrustedUntilMs;
+    },
+    sent: nowMs => {
+      unconfirmedMs ??= nowMs;
+    },
+    confirmed: () => {
+      unconfirmedMs = undefined;
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/fleet/work_news.test.ts
@@ -0,0 +1,141 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {GatewayAction} from '../gateway/actions/gateway_action.js';
+import type {SendPeers} from '../gateway/actions/send_peers.js';
+import type {GatewayEvent} from '../gateway/events/gateway_event.js';
+import {
+  piece,
+  readyGateway,
+  requestArrived,
+  type GatewayHarness,
+} from '../mocks/gateway_harness.js';
+import {endpointEntry} from '../mocks/gateway_parts.js';
+import type {PeerMessage} from './messages/peer_message.js';
+import type {WorkNotice} from './messages/work_notice.js';
+
+const PEERS = Array.from({length: 13}, (_, i) => `10.0.0.${i + 20}:7000`);
+const RELAY = '10.0.0.32:7000';
+
+function fromPeer(from: string, message: PeerMessage): GatewayEvent {
+  return {kind: 'peer_received', from, incarnation: 5, message};
+}
+
+function beat(): PeerMessage {
+  return {
+    kind: 'beat',
+    failureDomain: 'amman-2',
+    storeReachable: false,
+    draining: false,
+    wantsReply: false,
+    work: [],
+  };
+}
+
+function notice(main: string): WorkNotice {
+  return {
+    work: 1,
+    main,
+    helpers: [],
+    shared: false,
+    promptTokens: 200_000,
+    outputTokens: 100,
+    dueInMs: 3_000,
+    gapMs: 1_000,
+    ageMs: 0,
+    writing: false,
+  };
+}
+
+/** A gateway with two engines that has heard 13 others. */
+function largeFleet(address = '10.0.0.1:7000'): GatewayHarness {
+  const entries = [endpointEntry({id: 'e1'}), endpointEntry({id: 'e2'})];
+  const gateway = readyGateway({cfg: {address}, entries});
+  for (const peer of PEERS) gateway.step(fromPeer(peer, beat()));
+  gateway.step({kind: 'tick'}, 10);
+  return gateway;
+}
+
+function sent(
+  actions: GatewayAction[],
+  kind: PeerMessage['kind'],
+): SendPeers[] {
+  return actions.filter(
+    (action): action is SendPeers =>
+      action.kind === 'send_peers' && action.message.kind === kind,
+  );
+}
+
+function expectedMs(actions: GatewayAction[]): number {
+  const log = actions.find(
+    action => action.kind === 'write_log' && action.event === 'WL8301',
+  );
+  assert.ok(log?.kind === 'write_log');
+  return Number(log.fields['expectedMs']);
+}
+
+test('changes of work go to the relay alone, which is asked to pass them on', () => {
+  const [update] = sent(largeFleet().step(requestArrived()), 'work_update');
+  assert.deepEqual(update?.to, [RELAY]);
+  assert.ok(update.message.kind === 'work_update' && update.message.passOn);
+});
+
+test('a relay that passes nothing on is left for a while', () => {
+  const gateway = largeFleet();
+  gateway.step(requestArrived());
+  const [update] = sent(gateway.step(piece(1), 400), 'work_update');
+  assert.equal(update?.to.length, PEERS.length);
+  assert.ok(update.message.kind === 'work_update' && !update.message.passOn);
+});
+
+test('a relay that passes changes on stays in use', () => {
+  const gateway = largeFleet();
+  gateway.step(requestArrived());
+  const own = {member: '10.0.0.1:7000', incarnation: 1};
+  const changes = [{...own, started: [], writing: [], ended: []}];
+  gateway.step(fromPeer(RELAY, {kind: 'work_digest', changes}), 60);
+  const [update] = sent(gateway.step(piece(1), 400), 'work_update');
+  assert.deepEqual(update?.to, [RELAY]);
+});
+
+test('a relay gathers the changes of others and its own', () => {
+  const self = '10.0.0.99:7000';
+  const gateway = largeFleet(self);
+  const changes = {started: [notice('e1')], writing: [], ended: []};
+  const update = {kind: 'work_update', passOn: true, ...changes} as const;
+  const first = [
+    ...gateway.step(fromPeer(PEERS[0]!, update)),
+    ...gateway.step(requestArrived()),
+  ];
+  assert.deepEqual(sent(first, 'work_update'), []);
+  const later = [...first, ...gateway.step({kind: 'tick'}, 60)];
+  const digests = sent(later, 'work_digest');
+  assert.ok(digests.every(({to}) => to.length === PEERS.length));
+  const members = digests.flatMap(({message}) =>
+    message.kind === 'work_digest'
+      ? message.changes.map(({member, incarnation}) => [member, incarnation])
+      : [],
+  );
+  assert.deepEqual(members, [
+    [PEERS[0], 5],
+    [self, 1],
+  ]);
+});
+
+test('work of a digest counts unless it is of an earlier start', () => {
+  const digestOf = (incarnation: number): PeerMessage => ({
+    kind: 'work_digest',
+    changes: ['e1', 'e2'].map((main, i) => ({
+      member: PEERS[i]!,
+      incarnation,
+      started: [notice(main)],
+      writing: [],
+      ended: [],
+    })),
+  });
+  const old = largeFleet();
+  old.step(fromPeer(RELAY, digestOf(4)));
+  assert.ok(expectedMs(old.step(requestArrived())) < 200);
+  const current = largeFleet();
+  current.step(fromPeer(RELAY, digestOf(5)));
+  assert.ok(expectedMs(current.step(requestArrived())) > 500);
+});
--- a/packages/core/src/fleet/work_news.ts
+++ b/packages/core/src/fleet/work_news.ts
@@ -1,80 +1,132 @@
 import type {GatewayContext} from '../gateway/gateway_context.js';
+import {chooseRelay} from './choose_relay.js';
 import type {FleetMembers} from './fleet_members.js';
+import type {MemberRecord} from './member_record.js';
+import type {WorkChanges} from './messages/work_changes.js';
+import type {WorkDigest} from './messages/work_digest.js';
 import type {WorkUpdate} from './messages/work_update.js';
+import {createRelayTrust} from './relay_trust.js';
 import type {Work} from './work.js';
 import type {WorkBoard} from './work_board.js';
 import {noticeOf, workOf} from './work_notices.js';
+import {createWorkRelay} from './work_relay.js';
 
-/** Tells other gateways at once what changes in the work of this one. */
+/**
+ * Tells other gateways what changes in the work of this one: each of them in
+ * a small fleet, through a relay in a large one.
+ */
 export interface WorkNews {
   started(work: Work): void;
   writing(work: number): void;
   ended(work: number): void;
   /** Sends what has changed since the last call. */
   settle(ctx: GatewayContext): void;
+  /** Sends what others asked this gateway to pass on. */
+  expire(ctx: GatewayContext): void;
   updateReceived(ctx: GatewayContext, from: string, update: WorkUpdate): void;
+  digestReceived(ctx: GatewayContext, digest: WorkDigest): void;
 }
 
-interface PendingUpdate {
+/** What the news work on. */
+export interface WorkNewsParts {
+  self: MemberRecord;
+  members: FleetMembers;
+  board: WorkBoard;
+  draining(): boolean;
+}
+
+interface PendingChanges {
   started: Work[];
   writing: number[];
   ended: number[];
 }
 
-function emptyUpdate(): PendingUpdate {
+function noChanges(): PendingChanges {
   return {started: [], writing: [], ended: []};
 }
 
 /** Creates news without changes. */
-export function createWorkNews(
-  self: string,
-  members: FleetMembers,
-  board: WorkBoard,
-): WorkNews {
-  let pending = emptyUpdate();
+export function createWorkNews(parts: WorkNewsParts): WorkNews {
+  const {self, members, board} = parts;
+  const relay = createWorkRelay(members);
+  const trust = createRelayTrust();
+  let pending = noChanges();
+
+  function relayOf(nowMs: number): string | undefined {
+    return chooseRelay(self.address, parts.draining(), members.alive(nowMs));
+  }
+
+  function settle(ctx: GatewayContext): void {
+    const {started, writing, ended} = pending;
+    if (started.length + writing.length + ended.length === 0) return;
+    pending = noChanges();
+    const {nowMs} = ctx;
+    const notices = started.map(work => noticeOf(work, nowMs));
+    const changes: WorkChanges = {started: notices, writing, ended};
+    const via = relayOf(nowMs);
+    if (via === self.address) {
+      const {address: member, incarnation} = self;
+      return relay.add({member, incarnation, ...changes});
+    }
+    const passOn = via !== undefined && trust.trusted(nowMs);
+    if (passOn) trust.sent(nowMs);
+    const to = passOn
+      ? [via]
+      : members.alive(nowMs).map(({address}) => address);
+    if (to.length === 0) return;
+    const message: WorkUpdate = {kind: 'work_update', passOn, ...changes};
+    ctx.emit({kind: 'send_peers', to, message});
+  }
+
+  function apply(
+    ctx: GatewayContext,
+    member: string,
+    {started, writing, ended}: WorkChanges,
+  ): void {
+    for (const notice of started) {
+      board.add(workOf(notice, member, ctx.nowMs));
+    }
+    for (const work of writing) board.writing(member, work);
+    for (const work of ended) board.remove(member, work);
+  }
 
   function updateReceived(
     ctx: GatewayContext,
     from: string,
     update: WorkUpdate,
   ): void {
-    for (const notice of update.started) {
-      board.add(workOf(notice, from, ctx.nowMs));
-    }
-    for (const work of update.writing) board.writing(from, work);
-    for (const work of update.ended) board.remove(from, work);
+    apply(ctx, from, update);
+    if (!update.passOn) return;
+    const {started, writing, ended} = update;
+    const incarnation = members.get(from)?.incarnation ?? 0;
+    relay.add({member: from, incarnation, started, writing, ended});
   }
 
-  function settle(ctx: GatewayContext): void {
-    const {started, writing, ended} = pending;
-    if (started.length + writing.length + ended.length === 0) return;
-    const to = members.alive(ctx.nowMs).map(({address}) => address);
-    if (to.length > 0) {
-      const notices = started.map(work => noticeOf(work, ctx.nowMs));
-      const message: WorkUpdate = {
-        kind: 'work_update',
-        started: notices,
-        writing,
-        ended,
-      };
-      ctx.emit({kind: 'send_peers', to, message});
+  function digestReceived(ctx: GatewayContext, {changes}: WorkDigest): void {
+    if (changes.some(({member}) => member === self.address)) trust.confirmed();
+    for (const change of changes) {
+      const {member, incarnation} = change;
+      if (member === self.address) continue;
+      const known = members.get(member)?.incarnation ?? 0;
+      if (incarnation >= known) apply(ctx, member, change);
     }
-    pending = emptyUpdate();
   }
 
   return {
     settle,
+    expire: ctx => relay.expire(ctx),
     updateReceived,
+    digestReceived,
     started: work => {
       board.add(work);
       pending.started.push(work);
     },
     writing: work => {
-      board.writing(self, work);
+      board.writing(self.address, work);
       pending.writing.push(work);
     },
     ended: work => {
-      board.remove(self, work);
+      board.remove(self.address, work);
       pending.ended.push(work);
     },
   };
--- a/packages/core/src/store_watch/store_watch.ts
+++ b/packages/core/src/store_watch/store_watch.ts
@@ -18,6 +18,8 @@
 
 /** Pause between two reads of the gateway that reads for all. */
 const READ_INTERVAL_MS = 500;
+/** Who reads is looked up this often, as it walks all gateways. */
+const CHECK_INTERVAL_MS = 20;
 /** Knowledge that is older makes a gateway read the store itself. */
 const STALE_AFTER_MS = 1_050;
 /** Pause between two reads of other gateways while the store fails. */
@@ -68,7 +70,10 @@
   let reachable = false;
   let failedSinceSuccess = false;
   let polledMs = Number.NEGATIVE_INFINITY;
+  let checkedMs = Number.NEGATIVE_INFINITY;
   let startedMs: number | undefined;
+  /** Whether the registry changed since peers were told. */
+  let untold = false;
 
   /** The store would have answered by now if it could. */
   function waitedLong(nowMs: number): boolean {
@@ -89,7 +94,10 @@
       // Peers rely on this gateway's reads, which are past these records.
       recent.add(nowMs, positions.registry.next ?? 0, gone);
       registryChanged(ctx, gone);
+      untold = true;
     }
+    if (nowMs - checkedMs < CHECK_INTERVAL_MS) return;
+    checkedMs = nowMs;
     if (nowMs - polledMs >= pollIntervalMs(nowMs)) poll(ctx);
   }
 
@@ -155,13 +163,14 @@
   ): void {
     const position = positions.configuration;
     answered(ctx, position);
+    const moved = event.nextOffset > (position.next ?? 0);
     position.next = Math.max(position.next ?? 0, event.nextOffset);
     position.mustList = false;
     const {configuration: next} = event;
     if (next && adoptConfiguration(ctx, configuration, next, 'store')) {
       parts.configured(ctx);
     }
-    news.tell(ctx);
+    if (moved || positions.registry.askedMs === undefined) tell(ctx);
   }
 
   function registryRead(ctx: GatewayContext, event: RegistryRead): void {
@@ -176,6 +185,7 @@
       const changed = registry.list(ctx.nowMs, event.changes);
       recent.restart(event.nextOffset);
       if (changed) registryChanged(ctx, []);
+      untold ||= changed;
     } else if (!event.listing && askedFrom === event.fromOffset) {
       position.next = event.nextOffset;
       const applied = event.changes.filter(change =>
@@ -183,7 +193,14 @@
       );
       recent.add(ctx.nowMs, event.nextOffset, applied);
       if (applied.length > 0) registryChanged(ctx, applied);
+      untold ||= applied.length > 0;
     }
+    // What is read at the same time is told together.
+    if (untold || positions.configuration.askedMs === undefined) tell(ctx);
+  }
+
+  function tell(ctx: GatewayContext): void {
+    untold = false;
     news.tell(ctx);
   }
 
--- a/packages/gateway/src/peers/datagram_codec.test.ts
+++ b/packages/gateway/src/peers/datagram_codec.test.ts
@@ -56,6 +56,20 @@
     started: fc.array(NOTICE, {maxLength: 3}),
     writing: fc.array(COUNT, {maxLength: 3}),
     ended: fc.array(COUNT, {maxLength: 3}),
+    passOn: fc.boolean(),
+  }),
+  fc.record({
+    kind: fc.constant('work_digest' as const),
+    changes: fc.array(
+      fc.record({
+        member: fc.string(),
+        incarnation: OFFSET,
+        started: fc.array(NOTICE, {maxLength: 3}),
+        writing: fc.array(COUNT, {maxLength: 3}),
+        ended: fc.array(COUNT, {maxLength: 3}),
+      }),
+      {maxLength: 3},
+    ),
   }),
   fc.record({
     kind: fc.constant('endpoint_doubt' as const),
--- a/packages/gateway/src/peers/datagram_codec.ts
+++ b/packages/gateway/src/peers/datagram_codec.ts
@@ -6,6 +6,7 @@
 } from '@bufbuild/protobuf';
 import type {Beat} from '@wisterialadder/core/fleet/messages/beat.js';
 import type {StoreNews} from '@wisterialadder/core/fleet/messages/store_news.js';
+import type {WorkDigest} from '@wisterialadder/core/fleet/messages/work_digest.js';
 import type {WorkUpdate} from '@wisterialadder/core/fleet/messages/work_update.js';
 import type {EntryChange} from '@wisterialadder/core/registry/entry_change.js';
 import {
@@ -38,6 +39,8 @@
       return {case: 'beat', value: beatOut(message)};
     case 'work_update':
       return {case: 'workUpdate', value: updateOut(message)};
+    case 'work_digest':
+      return {case: 'workDigest', value: digestOut(message)};
     case 'store_news':
       return {case: 'storeNews', value: newsOut(message)};
     case 'endpoint_doubt': {
@@ -51,8 +54,20 @@
   return {...rest, work: work.map(noticeOut)};
 }
 
-function updateOut({started, writing, ended}: WorkUpdate) {
-  return {started: started.map(noticeOut), writing, ended};
+function updateOut({started, writing, ended, passOn}: WorkUpdate) {
+  return {started: started.map(noticeOut), writing, ended, passOn};
+}
+
+function digestOut({changes}: WorkDigest) {
+  return {
+    changes: changes.map(({member, incarnation, started, writing, ended}) => ({
+      member,
+      incarnation: BigInt(incarnation),
+      started: started.map(noticeOut),
+      writing,
+      ended,
+    })),
+  };
 }
 
 function noticeOut(notice: Beat['work'][number]) {
@@ -122,6 +137,14 @@
       return {kind: 'beat', ...message.value};
     case 'workUpdate':
       return {kind: 'work_update', ...message.value};
+    case 'workDigest':
+      return {
+        kind: 'work_digest',
+        changes: message.value.changes.map(change => ({
+          ...change,
+          incarnation: Number(change.incarnation),
+        })),
+      };
     case 'storeNews':
       return {
         kind: 'store_news',
--- a/packages/gateway/src/peers/datagram_socket.ts
+++ b/packages/gateway/src/peers/datagram_socket.ts
@@ -16,7 +16,11 @@
   received: (from: string, bytes: Uint8Array) => void,
   onError: (err: unknown) => void,
 ): Promise<DatagramSocket> {
-  const socket = createSocket('udp4');
+  // Addresses are numeric; the usual lookup costs a turn of the event loop.
+  const socket = createSocket({
+    type: 'udp4',
+    lookup: (host, _options, found) => found(null, host, 4),
+  });
   const {host, port} = splitAddress(address);
   await new Promise<void>((resolve, reject) => {
     socket.once('error', reject);
--- /dev/null
+++ b/scripts/measure_gossip.mjs
@@ -0,0 +1,109 @@
+// Processor time of one gateway among many: peers that are only sockets send
+// it beats and changes of work at the rate of a whole fleet, directly in a
+// small fleet and through a relay in a large one.
+// Arguments: gateways, requests a second of the fleet, seconds.
+import {createSocket} from 'node:dgram';
+import {readFileSync} from 'node:fs';
+import {clearInterval, setInterval} from 'node:timers';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {hash32} from '../packages/core/dist/shared/hash32.js';
+import {encodeDatagram} from '../packages/gateway/dist/peers/datagram_codec.js';
+import {startGatewayFleet} from './fleet/gateway_fleet.mjs';
+
+const TICKS_PER_SECOND = 100;
+const WORK_MS = 1_500;
+/** As in the core. */
+const MOST_DIRECT = 12;
+const DIGEST_INTERVAL_MS = 40;
+
+const [gateways = 68, requestsPerSecond = 62, seconds = 10] = process.argv
+  .slice(2)
+  .map(Number);
+
+function cpuSeconds(pid) {
+  const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(' ');
+  return (Number(fields[13]) + Number(fields[14])) / TICKS_PER_SECOND;
+}
+
+const fleet = await startGatewayFleet({gateways: 1, engines: 45, services: 5});
+const [gateway] = fleet.gateways;
+const [, port] = gateway.started.peers.split(':');
+const hash = hash32(`fleet-${port}`);
+let received = 0;
+const peers = await Promise.all(
+  Array.from({length: gateways - 1}, async (_, i) => {
+    const socket = createSocket('udp4');
+    socket.on('message', () => (received += 1));
+    await new Promise(resolve =>
+      socket.bind(Number(port), `127.0.1.${i + 1}`, resolve),
+    );
+    return socket;
+  }),
+);
+
+function send(i, message) {
+  const bytes = encodeDatagram(hash, 1, message);
+  peers[i].send(bytes, Number(port), '127.0.0.2');
+}
+
+const beat = {
+  kind: 'beat',
+  failureDomain: 'zone-b',
+  storeReachable: true,
+  draining: false,
+  wantsReply: false,
+  work: [],
+};
+const timers = peers.map((_, i) => setInterval(() => send(i, beat), 1_000));
+let works = 0;
+let gathered = [];
+function tell(i, changes) {
+  const all = {started: [], writing: [], ended: [], ...changes};
+  if (gateways <= MOST_DIRECT) {
+    return send(i, {kind: 'work_update', passOn: false, ...all});
+  }
+  const member = `127.0.1.${i + 1}:${port}`;
+  gathered.push({member, incarnation: 1, ...all});
+}
+const relay = setInterval(() => {
+  if (gathered.length > 0) {
+    send(0, {kind: 'work_digest', changes: gathered});
+  }
+  gathered = [];
+}, DIGEST_INTERVAL_MS);
+const load = setInterval(() => {
+  works += 1;
+  const [i, work] = [works % peers.length, works];
+  const engine = fleet.platform.engines[work % 45].id;
+  const notice = {
+    work,
+    main: engine,
+    helpers: [],
+    shared: false,
+    promptTokens: 5_000,
+    outputTokens: 1_500,
+    dueInMs: 300,
+    gapMs: 250,
+    ageMs: 0,
+    writing: false,
+  };
+  tell(i, {started: [notice]});
+  setTimeout(() => tell(i, {writing: [work]}), 100);
+  setTimeout(() => tell(i, {ended: [work]}), WORK_MS);
+}, 1_000 / requestsPerSecond);
+
+await sleep(2_000);
+const [cpu, got] = [cpuSeconds(gateway.pid), received];
+await sleep(seconds * 1_000);
+const used = (cpuSeconds(gateway.pid) - cpu) / seconds;
+console.log(
+  `${gateways} gateways, ${requestsPerSecond} requests/s: ` +
+    `${(100 * used).toFixed(1)}% of a core, ` +
+    `${((received - got) / seconds).toFixed(0)} datagrams/s sent`,
+);
+clearInterval(load);
+clearInterval(relay);
+for (const timer of timers) clearInterval(timer);
+await sleep(WORK_MS);
+for (const socket of peers) socket.close();
+await fleet.stop();
--- a/scripts/process_tests/gateway.test.mjs
+++ b/scripts/process_tests/gateway.test.mjs
@@ -174,6 +174,48 @@
   assert.ok(gateways[0].running());
 });
 
+/** Requests on engines, as a gateway believes. */
+async function inFlight({status}, gateway) {
+  const {endpoints} = await status(gateway);
+  return endpoints.reduce((sum, endpoint) => sum + endpoint.inFlight, 0);
+}
+
+async function becomes(wanted, read, withinMs) {
+  const dueMs = Date.now() + withinMs;
+  while ((await read()) !== wanted) {
+    assert.ok(Date.now() < dueMs, `not ${wanted} within ${withinMs} ms`);
+    await sleep(20);
+  }
+}
+
+// Changes of work go through one gateway in a fleet of this size; beats, which
+// tell the same, come each second only.
+test('gateways of a large fleet know of work, also when the relay dies', async t => {
+  const fleet = await fleetFor(t, {gateways: 14});
+  const {gateways, send} = fleet;
+  const others = gateways.filter(({started}) => {
+    return !started.peers.startsWith('127.0.0.9:');
+  });
+  const [relay] = gateways.filter(gateway => !others.includes(gateway));
+  const [sender, observer] = others;
+  await becomes(
+    13,
+    async () =>
+      (await fleet.status(observer)).members.filter(m => m.alive).length,
+    5_000,
+  );
+  const long = {tokens: [2_000, 8_000], deadlineMs: 20_000};
+  const first = send(sender, long);
+  await becomes(1, () => inFlight(fleet, observer), 900);
+  relay.kill('SIGKILL');
+  await relay.exited;
+  const second = send(sender, long);
+  await becomes(2, () => inFlight(fleet, observer), 2_500);
+  assertWhole(await first);
+  assertWhole(await second);
+  await becomes(0, () => inFlight(fleet, observer), 2_500);
+});
+
 // The bundle holds only parts of some libraries, and code compiled before.
 test('the bundle that is deployed serves like the modules', async t => {
   execFileSync('bash', ['scripts/build_target.sh']);
