--- a/scripts/fleet/gateway_fleet.mjs
+++ b/scripts/fleet/gateway_fleet.mjs
@@ -29,6 +29,7 @@
   services = 2,
   memoryTokens,
   bin = BIN,
+  front,
   storeAddress,
 } = {}) {
   const dir = mkdtempSync(join(tmpdir(), 'wl-gateway-'));
@@ -36,6 +37,7 @@
     engines,
     services,
     memoryTokens,
+    front,
   });
   const port = await freePort();
   const processes = [];
--- a/scripts/fleet/relay.mjs
+++ b/scripts/fleet/relay.mjs
@@ -3,7 +3,7 @@
 /**
  * Starts a TCP relay to `target` (`IP:PORT`) on a free loopback port. A cut
  * relay destroys its connections and accepts none; `delayMs` holds back each
- * chunk in both directions.
+ * chunk in both directions, and a silent direction drops them.
  */
 export async function startRelay(target) {
   const colon = target.lastIndexOf(':');
@@ -12,6 +12,7 @@
   const sockets = new Set();
   let cut = false;
   let delayMs = 0;
+  let silent = 'none';
 
   const server = createServer(near => {
     if (cut) return near.destroy();
@@ -22,12 +23,15 @@
       socket.on('error', () => socket.destroy());
       socket.on('close', () => sockets.delete(socket));
     }
-    forward(near, far);
-    forward(far, near);
+    forward(near, far, 'out');
+    forward(far, near, 'back');
   });
 
-  function forward(from, to) {
-    from.on('data', chunk => later(() => to.writable && to.write(chunk)));
+  function forward(from, to, direction) {
+    from.on('data', chunk => {
+      if (silent === direction || silent === 'both') return;
+      later(() => to.writable && to.write(chunk));
+    });
     from.on('close', () => later(() => to.destroy()));
     from.on('end', () => later(() => to.end()));
   }
@@ -44,6 +48,17 @@
       cut = value;
       if (cut) for (const socket of sockets) socket.destroy();
     },
+    /** @param value `none`, `out` (to the target), `back` or `both` */
+    setSilent: value => {
+      silent = value;
+    },
+    /** Resets all connections; new ones are accepted. */
+    reset: () => {
+      for (const socket of sockets) {
+        if (socket.writableEnded) socket.destroy();
+        else socket.resetAndDestroy();
+      }
+    },
     setDelay: ms => {
       delayMs = ms;
     },
--- /dev/null
+++ b/scripts/soak/soak.mjs
@@ -0,0 +1,37 @@
+// Random faults against real gateways on loopback. Prints what was broken.
+// soak.mjs --seeds FIRST..LAST [--seconds N]    given seeds
+// soak.mjs --minutes N [--seconds N]            fresh seeds
+import {cac} from 'cac';
+import {runSeed} from './run_seed.mjs';
+
+const DEFAULT_SECONDS = 12;
+
+const cli = cac('soak');
+cli.option('--seeds <range>', 'Seeds FIRST..LAST or one seed');
+cli.option('--minutes <n>', 'Play fresh seeds for so long');
+cli.option('--seconds <n>', 'Time in which faults begin, for each seed');
+const {options} = cli.parse();
+
+function* seeds() {
+  if (options.seeds !== undefined) {
+    const [first, last = first] = String(options.seeds).split('..').map(Number);
+    for (let seed = first; seed <= last; seed++) yield seed;
+    return;
+  }
+  const endMs = Date.now() + Number(options.minutes ?? 1) * 60_000;
+  while (Date.now() < endMs) yield Math.floor(Math.random() * 1e9);
+}
+
+let failed = 0;
+for (const seed of seeds()) {
+  const durationMs = Number(options.seconds ?? DEFAULT_SECONDS) * 1_000;
+  const {findings, faults, requests} = await runSeed(seed, durationMs);
+  console.log(
+    `seed ${seed}: ${faults} faults, ${requests} requests, ` +
+      `${findings.length === 0 ? 'held' : 'BROKEN'}`,
+  );
+  for (const finding of findings.slice(0, 10)) console.log(`  ${finding}`);
+  if (findings.length > 0) failed += 1;
+}
+console.log(failed === 0 ? 'all held' : `${failed} seeds broken`);
+process.exitCode = failed === 0 ? 0 : 1;
