--- a/packages/core/src/endpoint_health/endpoint_health.test.ts
+++ b/packages/core/src/endpoint_health/endpoint_health.test.ts
@@ -57,6 +57,27 @@
   assert.deepEqual(endpointsOf(gateway, 2), ['e1', 'e1']);
 });
 
+function brokenAttempt(reqId: string): GatewayEvent {
+  const kind = 'attempt_failed';
+  const failure = 'broken';
+  return {kind, reqId, attempt: 1, failure, detail: '', atFault: ''};
+}
+
+test('a request that has failed once is no trial of another endpoint', () => {
+  const entries = ['e1', 'e2', 'e3'].map(id => endpointEntry({id}));
+  const gateway = readyGateway({entries});
+  const [first] = endpointsOf(gateway, 1);
+  const second = started(gateway.step(brokenAttempt('q0')))?.endpoint;
+  gateway.step({...brokenAttempt('q0'), attempt: 2} as GatewayEvent);
+  // The only sound engine has as much work as it can take.
+  const [sound] = new Set(endpointsOf(gateway, 12));
+  gateway.step({kind: 'tick'}, 500);
+  const trial = started(gateway.step(requestArrived({reqId: 't'})));
+  assert.ok([first, second].includes(trial?.endpoint));
+  const repeat = started(gateway.step(brokenAttempt('t')));
+  assert.equal(repeat?.endpoint, sound);
+});
+
 test('peers are told of an endpoint out of reach and spare it', () => {
   const gateway = readyGateway({entries: TWO_ENGINES});
   gateway.step(
--- a/packages/core/src/spread/endpoint_selection.ts
+++ b/packages/core/src/spread/endpoint_selection.ts
@@ -143,8 +143,13 @@
       const spec = configuration.service(service);
       const usable = registry.usable(service);
       const sound = usable.filter(({id}) => !health.aside(id, nowMs));
+      // A request that has failed once is no trial of a doubtful endpoint.
+      const steady =
+        avoid.size === 0
+          ? sound
+          : sound.filter(({id}) => health.standing(id).failures === 0);
       // Where nothing is sound, a doubtful endpoint is better than none.
-      const pool = [sound, usable]
+      const pool = [steady, sound, usable]
         .map(entries => entries.filter(({id}) => !avoid.has(id)))
         .find(entries => entries.length > 0);
       const candidates = (pool ?? usable).map(entry =>
--- a/scripts/soak/run_seed.mjs
+++ b/scripts/soak/run_seed.mjs
@@ -131,11 +131,13 @@
   const [lookup] = LOAD_KINDS;
   for (let i = 0; i < LAST_REQUESTS; i++) {
     const {gateway} = env.slots[i % env.slots.length];
+    const attemptId = `last-${i + 1}`;
     const answer = await env.fleet.send(gateway, {
+      attemptId,
       path: lookup.path,
       tokens: [2_000, 200],
     });
     if (answer.status === 200 && answer.complete) continue;
-    env.broken(`not served after all faults: status ${answer.status}`);
+    env.broken(`${attemptId} after all faults: status ${answer.status}`);
   }
 }
