--- a/packages/core/src/requests/create_request_tracker.ts
+++ b/packages/core/src/requests/create_request_tracker.ts
@@ -1,22 +1,14 @@
-import type {AttemptDelta} from '../router/events/attempt_delta.js';
-import type {AttemptEnded} from '../router/events/attempt_ended.js';
-import type {AttemptFailed} from '../router/events/attempt_failed.js';
 import type {RouterContext} from '../router/router_context.js';
-import type {AttemptFailure} from '../types/attempt_failure.js';
 import type {Outcome} from '../types/outcome.js';
 import type {OutcomeCode} from '../types/outcome_code.js';
-import type {RouteChoice} from '../routing/route_choice.js';
+import {createAttemptProgress} from './attempt_progress.js';
 import {backoffMs} from './backoff.js';
 import {DEADLINE_MARGIN_MS} from './deadline_margin.js';
 import {decideOutcome} from './decide_outcome.js';
 import type {EndReason} from './end_reason.js';
 import {reportEnd} from './report_end.js';
-import {reportLateAnswer} from './report_late_answer.js';
 import type {RequestState} from './request_state.js';
-import {createRetryBudget} from './retry_budget.js';
-import {retryRefusal} from './retry_refusal.js';
 import {isSilent} from './silence.js';
-import {startAttemptAction} from './start_attempt_action.js';
 import type {RequestTracker} from './request_tracker.js';
 import type {RequestTrackerParts} from './request_tracker_parts.js';
 
@@ -32,7 +24,13 @@
 ): RequestTracker {
   const {cfg, queue, endpoints, observer} = parts;
   const requests = new Map<string, RequestState>();
-  const budget = createRetryBudget();
+  const attempts = createAttemptProgress({
+    endpoints,
+    observer,
+    requests,
+    abort,
+    finish,
+  });
   let expiredMs = Number.NEGATIVE_INFINITY;
 
   function admit(ctx: RouterContext, state: RequestState): void {
@@ -52,144 +50,6 @@
     queue.push(state.entry, ctx.nowMs);
   }
 
-  function startAttempt(
-    ctx: RouterContext,
-    state: RequestState,
-    choice: RouteChoice,
-  ): void {
-    const {row} = choice.endpoint;
-    if (state.attempt === 0) budget.firstAttempt();
-    state.attempt += 1;
-    state.phase = 'dispatched';
-    state.endpoint = row.name;
-    state.choice = choice;
-    state.progressMs = ctx.nowMs;
-    state.history.started();
-    endpoints.attemptStarted(row.name, state.entry.promptTokens);
-    ctx.emit(startAttemptAction(state, choice, ctx.nowMs));
-    ctx.emit({
-      kind: 'observe',
-      metric: 'attempts_total',
-      labels: {endpoint: row.name},
-      value: 1,
-    });
-  }
-
-  function current(reqId: string, attempt: number): RequestState | undefined {
-    const state = requests.get(reqId);
-    if (!state || state.attempt !== attempt || state.endpoint === '') {
-      return undefined;
-    }
-    return state;
-  }
-
-  function delta(ctx: RouterContext, event: AttemptDelta): void {
-    const state = current(event.reqId, event.attempt);
-    if (!state || event.sequence < state.nextSequence) {
-      reportLateAnswer(ctx, event.reqId, event.attempt);
-      return;
-    }
-    if (event.sequence > state.nextSequence) {
-      giveUpAttempt(ctx, state);
-      return;
-    }
-    if (state.phase === 'dispatched') observer?.firstPart(ctx, state);
-    prefillEnded(state);
-    state.nextSequence += 1;
-    state.progressMs = ctx.nowMs;
-    state.phase = 'streaming';
-    noteFirstToken(ctx, state);
-    ctx.emit({kind: 'deliver', reqId: event.reqId, payload: event.payload});
-  }
-
-  function prefillEnded(state: RequestState): void {
-    if (state.phase !== 'dispatched') return;
-    endpoints.prefillEnded(state.endpoint, state.entry.promptTokens);
-  }
-
-  function noteFirstToken(ctx: RouterContext, state: RequestState): void {
-    if (state.firstTokenMs !== undefined) return;
-    state.firstTokenMs = ctx.nowMs - state.entry.arrivedMs;
-    ctx.emit({
-      kind: 'observe',
-      metric: 'first_token_ms',
-      labels: {class: state.entry.className},
-      value: state.firstTokenMs,
-    });
-  }
-
-  function ended(ctx: RouterContext, event: AttemptEnded): void {
-    const state = current(event.reqId, event.attempt);
-    if (!state) {
-      reportLateAnswer(ctx, event.reqId, event.attempt);
-      return;
-    }
-    if (event.sequence !== state.nextSequence) {
-      giveUpAttempt(ctx, state);
-      return;
-    }
-    prefillEnded(state);
-    endpoints.attemptEnded(ctx, state.endpoint, true);
-    finish(ctx, state, {kind: 'completed'});
-  }
-
-  function failed(ctx: RouterContext, event: AttemptFailed): void {
-    const state = current(event.reqId, event.attempt);
-    if (!state) return;
-    if (event.leaving) endpoints.markLeaving(ctx, state.endpoint, 'response');
-    attemptFailed(ctx, state, event.failure);
-  }
-
-  /** Cancels the current attempt, since its answer cannot be used. */
-  function giveUpAttempt(ctx: RouterContext, state: RequestState): void {
-    ctx.emit({
-      kind: 'cancel_attempt',
-      reqId: state.entry.reqId,
-      attempt: state.attempt,
-    });
-    attemptFailed(ctx, state, 'broken');
-  }
-
-  function attemptFailed(
-    ctx: RouterContext,
-    state: RequestState,
-    failure: AttemptFailure,
-  ): void {
-    ctx.emit({
-      kind: 'write_log',
-      event: 'WL1003',
-      fields: {
-        reqId: state.entry.reqId,
-        attempt: state.attempt,
-        endpoint: state.endpoint,
-        failure,
-      },
-    });
-    const healthy = failure === 'rejected' || failure === 'said_not_run';
-    prefillEnded(state);
-    endpoints.attemptEnded(ctx, state.endpoint, healthy);
-    observer?.attemptFailed(ctx, state);
-    state.failedEndpoints.add(state.endpoint);
-    state.endpoint = '';
-    state.history.failed(failure);
-    retryOrFinish(ctx, state, failure);
-  }
-
-  function retryOrFinish(
-    ctx: RouterContext,
-    state: RequestState,
-    failure: AttemptFailure,
-  ): void {
-    const retryAtMs = ctx.nowMs + backoffMs(state.attempt, ctx.random);
-    const refusal = retryRefusal(state, failure, ctx.nowMs, retryAtMs, budget);
-    if (refusal) {
-      abort(ctx, state.entry.reqId, 'failure', refusal);
-      return;
-    }
-    state.phase = 'backoff';
-    state.retryAtMs = retryAtMs;
-  }
-
   function reserving(reqId: string): void {
     const state = requests.get(reqId);
     if (state) state.phase = 'reserving';
@@ -215,7 +75,7 @@
     if (!state) return;
     if (state.endpoint !== '') {
       ctx.emit({kind: 'cancel_attempt', reqId, attempt: state.attempt});
-      prefillEnded(state);
+      attempts.prefillEnded(state);
       endpoints.attemptEnded(ctx, state.endpoint, reason === 'cancelled');
     }
     const outcome = decideOutcome(
@@ -250,7 +110,7 @@
       } else if (state.phase === 'backoff' && ctx.nowMs >= state.retryAtMs) {
         enqueue(ctx, state);
       } else if (isSilent(cfg, state, ctx.nowMs)) {
-        giveUpAttempt(ctx, state);
+        attempts.giveUpAttempt(ctx, state);
       }
     }
   }
@@ -261,10 +121,10 @@
     get: reqId => requests.get(reqId),
     size: () => requests.size,
     all: () => requests.values(),
-    startAttempt,
-    delta,
-    ended,
-    failed,
+    startAttempt: attempts.startAttempt,
+    delta: attempts.delta,
+    ended: attempts.ended,
+    failed: attempts.failed,
     reserving,
     backOff,
     abort,
