--- /dev/null
+++ b/packages/core/src/forwarding/attempt_start.ts
@@ -0,0 +1,94 @@
+import type {PublishedConfiguration} from '../configuration/published_configuration.js';
+import type {EndpointHealth} from '../endpoint_health/endpoint_health.js';
+import type {FleetGossip} from '../fleet/fleet_gossip.js';
+import type {FleetMembers} from '../fleet/fleet_members.js';
+import type {Work} from '../fleet/work.js';
+import type {GatewayContext} from '../gateway/gateway_context.js';
+import type {EndpointChoice} from '../spread/endpoint_choice.js';
+import {choiceRequestOf} from './choice_request_of.js';
+import type {ForwardedRequest} from './forwarded_request.js';
+import {logRoute} from './route_log.js';
+import {startAttemptOf} from './start_attempt_of.js';
+import {workOf} from './work_of.js';
+
+/** Begins attempts and tells peers of their work. */
+export interface AttemptStart {
+  /** @param ticket memory set aside on helpers; empty for none */
+  start(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    choice: EndpointChoice,
+    ticket: string,
+  ): void;
+  /** Tells peers of work that is or will be sent to endpoints. */
+  tellWork(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    choice: EndpointChoice,
+    startedMs: number,
+  ): Work;
+}
+
+/** What the start of attempts works on. */
+export interface AttemptStartParts {
+  configuration: PublishedConfiguration;
+  health: EndpointHealth;
+  members: FleetMembers;
+  gossip: FleetGossip;
+  /** Peer address of this gateway. */
+  self: string;
+}
+
+/** Creates the start of attempts. */
+export function createAttemptStart(parts: AttemptStartParts): AttemptStart {
+  const {configuration, health, members, gossip} = parts;
+  let works = 0;
+
+  function start(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    choice: EndpointChoice,
+    ticket: string,
+  ): void {
+    const {nowMs} = ctx;
+    const work = req.planned?.work ?? tellWork(ctx, req, choice, nowMs);
+    req.planned = undefined;
+    req.attempts += 1;
+    req.history.started();
+    req.current = {
+      attempt: req.attempts,
+      choice,
+      work: work.work,
+      startedMs: nowMs,
+      progressMs: nowMs,
+      shortestGapMs: Number.POSITIVE_INFINITY,
+      pieces: 0,
+    };
+    health.tried(choice.main.id, nowMs);
+    ctx.emit(
+      startAttemptOf(req, choice, ticket, maxConnections(nowMs, req), nowMs),
+    );
+    logRoute(ctx, req, choice, 'WL8301', configuration.version());
+  }
+
+  function tellWork(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    choice: EndpointChoice,
+    startedMs: number,
+  ): Work {
+    works += 1;
+    const wanted = choiceRequestOf(req, ctx.nowMs);
+    const {self} = parts;
+    const work = workOf(self, works, choice, wanted, ctx.nowMs, startedMs);
+    gossip.started(work);
+    return work;
+  }
+
+  function maxConnections(nowMs: number, req: ForwardedRequest): number {
+    const limit = configuration.service(req.service)?.connectionLimit ?? 0;
+    return Math.max(1, Math.floor(limit / members.size(nowMs)));
+  }
+
+  return {start, tellWork};
+}
--- a/packages/core/src/forwarding/dispatcher.ts
+++ b/packages/core/src/forwarding/dispatcher.ts
@@ -1,21 +1,15 @@
-import type {PublishedConfiguration} from '../configuration/published_configuration.js';
-import type {EndpointHealth} from '../endpoint_health/endpoint_health.js';
-import type {FleetGossip} from '../fleet/fleet_gossip.js';
-import type {FleetMembers} from '../fleet/fleet_members.js';
-import type {Work} from '../fleet/work.js';
 import type {GatewayContext} from '../gateway/gateway_context.js';
 import type {EndpointChoice} from '../spread/endpoint_choice.js';
 import type {EndpointSelection} from '../spread/endpoint_selection.js';
 import type {TicketSet} from '../tickets/ticket_set.js';
 import type {Tickets} from '../tickets/tickets.js';
+import {createAttemptStart, type AttemptStartParts} from './attempt_start.js';
 import {choiceRequestOf} from './choice_request_of.js';
 import type {ForwardedRequest} from './forwarded_request.js';
 import type {PlannedStart} from './planned_start.js';
 import type {RequestEnd} from './request_end.js';
 import {roomWaitEndMs} from './room_wait.js';
 import {logNoRoute, logRoute} from './route_log.js';
-import {startAttemptOf} from './start_attempt_of.js';
-import {workOf} from './work_of.js';
 
 /** A shorter wait for engines is not worth it. */
 const LEAST_WAIT_MS = 15;
@@ -40,24 +34,17 @@
 }
 
 /** What the dispatcher works on. */
-export interface DispatcherParts {
+export interface DispatcherParts extends AttemptStartParts {
   requests: Map<string, ForwardedRequest>;
-  configuration: PublishedConfiguration;
   selection: EndpointSelection;
-  health: EndpointHealth;
-  members: FleetMembers;
-  gossip: FleetGossip;
   tickets: Pick<Tickets, 'begin' | 'release'>;
   end: RequestEnd;
-  /** Peer address of this gateway. */
-  self: string;
 }
 
 /** Creates a dispatcher. */
 export function createDispatcher(parts: DispatcherParts): Dispatcher {
-  const {requests, configuration, selection, health, members, gossip} = parts;
-  const {tickets, end} = parts;
-  let works = 0;
+  const {requests, configuration, selection, tickets, end} = parts;
+  const {start, tellWork} = createAttemptStart(parts);
 
   function dispatch(ctx: GatewayContext, req: ForwardedRequest): void {
     const {nowMs, random} = ctx;
@@ -153,57 +140,10 @@
     end.dropPlan(req);
     req.failedAt.add(engine);
     req.refusedRounds += 1;
-    if (req.refusedRounds >= MAX_MEMORY_ROUNDS)
-      end.giveUp(ctx, req, 'overloaded');
+    const over = req.refusedRounds >= MAX_MEMORY_ROUNDS;
+    if (over) end.giveUp(ctx, req, 'overloaded');
     else dispatch(ctx, req);
   }
 
-  function start(
-    ctx: GatewayContext,
-    req: ForwardedRequest,
-    choice: EndpointChoice,
-    ticket: string,
-  ): void {
-    const {nowMs} = ctx;
-    const work = req.planned?.work ?? tellWork(ctx, req, choice, nowMs);
-    req.planned = undefined;
-    req.attempts += 1;
-    req.history.started();
-    req.current = {
-      attempt: req.attempts,
-      choice,
-      work: work.work,
-      startedMs: nowMs,
-      progressMs: nowMs,
-      shortestGapMs: Number.POSITIVE_INFINITY,
-      pieces: 0,
-    };
-    health.tried(choice.main.id, nowMs);
-    ctx.emit(
-      startAttemptOf(req, choice, ticket, maxConnections(nowMs, req), nowMs),
-    );
-    logRoute(ctx, req, choice, 'WL8301', configuration.version());
-  }
-
-  /** Tells peers of work that is or will be sent to endpoints. */
-  function tellWork(
-    ctx: GatewayContext,
-    req: ForwardedRequest,
-    choice: EndpointChoice,
-    startedMs: number,
-  ): Work {
-    works += 1;
-    const wanted = choiceRequestOf(req, ctx.nowMs);
-    const {self} = parts;
-    const work = workOf(self, works, choice, wanted, ctx.nowMs, startedMs);
-    gossip.started(work);
-    return work;
-  }
-
-  function maxConnections(nowMs: number, req: ForwardedRequest): number {
-    const limit = configuration.service(req.service)?.connectionLimit ?? 0;
-    return Math.max(1, Math.floor(limit / members.size(nowMs)));
-  }
-
   return {dispatch, proceed, memoryReady, memoryRefused};
 }
