--- a/packages/core/src/configuration/route.ts
+++ b/packages/core/src/configuration/route.ts
@@ -6,14 +6,14 @@
   name: string;
   host: string;
   /** Begins and ends with a slash; the longest match wins. */
-  pathPrefix: string;
+  prefix: string;
   kind: RequestKind;
   /** One entry unless the route's requests are split. */
   services: WeightedService[];
   /** Time from arrival to the last byte, in milliseconds. */
   timeoutMs: number;
   /** Time to the whole answer, or to a stream's first piece. */
-  targetLatencyMs: number;
+  targetMs: number;
   /** Longest pause between two pieces of a stream; 0 for other kinds. */
   targetGapMs: number;
   /** 0 is served first. */
--- a/packages/core/src/configuration/route_table.test.ts
+++ b/packages/core/src/configuration/route_table.test.ts
@@ -12,16 +12,16 @@
 const PREFIXES = PATHS.map(path => (path.endsWith('/') ? path : `${path}/`));
 
 function routesAt(prefixes: string[]): Route[] {
-  return prefixes.map(pathPrefix => streamRoute({pathPrefix}));
+  return prefixes.map(prefix => streamRoute({prefix}));
 }
 
 test('the longest prefix wins, and only that of the host', () => {
   const table = createRouteTable([
     ...routesAt(['/', '/a/', '/a/b/']),
-    streamRoute({host: 'other.example', pathPrefix: '/a/b/c/'}),
+    streamRoute({host: 'other.example', prefix: '/a/b/c/'}),
   ]);
-  assert.equal(table.find('llm.example', '/a/b/c/d')?.pathPrefix, '/a/b/');
-  assert.equal(table.find('llm.example', '/ab')?.pathPrefix, '/');
+  assert.equal(table.find('llm.example', '/a/b/c/d')?.prefix, '/a/b/');
+  assert.equal(table.find('llm.example', '/ab')?.prefix, '/');
   assert.equal(table.find('none.example', '/a/'), undefined);
 });
 
@@ -33,7 +33,7 @@
         .filter(prefix => path.startsWith(prefix))
         .sort((a, b) => b.length - a.length)[0];
       const found = createRouteTable(routes).find('llm.example', path);
-      assert.equal(found?.pathPrefix, expected);
+      assert.equal(found?.prefix, expected);
     }),
     {seed: 1, numRuns: 500},
   );
--- a/packages/core/src/configuration/route_table.ts
+++ b/packages/core/src/configuration/route_table.ts
@@ -11,7 +11,7 @@
   const byHost = new Map<string, Map<string, Route>>();
   for (const route of routes) {
     const prefixes = byHost.get(route.host) ?? new Map<string, Route>();
-    prefixes.set(route.pathPrefix, route);
+    prefixes.set(route.prefix, route);
     byHost.set(route.host, prefixes);
   }
 
--- a/packages/core/src/forwarding/choice_request_of.ts
+++ b/packages/core/src/forwarding/choice_request_of.ts
@@ -15,7 +15,7 @@
   return {
     promptTokens,
     outputTokens: Math.min(maxOutputTokens, Math.round(guess)),
-    dueInMs: req.arrivedMs + route.targetLatencyMs - nowMs,
+    dueInMs: req.arrivedMs + route.targetMs - nowMs,
     gapMs: route.targetGapMs,
     bodyBytes: arrived.bodyBytes,
   };
--- a/packages/core/src/forwarding/room_wait.ts
+++ b/packages/core/src/forwarding/room_wait.ts
@@ -10,5 +10,5 @@
 export function roomWaitEndMs(req: ForwardedRequest): number {
   // Nothing else can finish a stream that has begun.
   if (req.begun) return req.deadlineMs;
-  return req.arrivedMs + req.route.targetLatencyMs * ROOM_WAIT_SHARE;
+  return req.arrivedMs + req.route.targetMs * ROOM_WAIT_SHARE;
 }
--- a/packages/core/src/forwarding/silence_limit.ts
+++ b/packages/core/src/forwarding/silence_limit.ts
@@ -33,7 +33,7 @@
         current.pieces === 0
           ? Math.max(
               current.choice.expectedMs * EXPECTED_TIMES,
-              route.targetLatencyMs * TARGET_TIMES,
+              route.targetMs * TARGET_TIMES,
             )
           : route.targetGapMs * GAP_TIMES,
       );
--- a/packages/core/src/mocks/gateway_parts.ts
+++ b/packages/core/src/mocks/gateway_parts.ts
@@ -47,11 +47,11 @@
   return {
     name: 'lookup',
     host: 'llm.example',
-    pathPrefix: '/lookup/',
+    prefix: '/lookup/',
     kind: 'stream',
     services: [{service: 'engines', weight: 1}],
     timeoutMs: 10_000,
-    targetLatencyMs: 300,
+    targetMs: 300,
     targetGapMs: 250,
     priority: 1,
     maxAttempts: 2,
@@ -65,7 +65,7 @@
 export function callRoute(over: Partial<Route> = {}): Route {
   return streamRoute({
     name: 'write',
-    pathPrefix: '/write/',
+    prefix: '/write/',
     kind: 'non_idempotent',
     services: [{service: 'register', weight: 1}],
     timeoutMs: 1_000,
@@ -87,7 +87,7 @@
       callRoute(),
       callRoute({
         name: 'read',
-        pathPrefix: '/read/',
+        prefix: '/read/',
         kind: 'idempotent',
         maxAttempts: 2,
       }),
--- a/packages/core/src/store_watch/store_watch.ts
+++ b/packages/core/src/store_watch/store_watch.ts
@@ -12,7 +12,9 @@
 import {chooseReader} from './choose_reader.js';
 import {createPeerNews} from './peer_news.js';
 import {createRecentChanges} from './recent_changes.js';
+import {logEntryChanges} from './log_entry_changes.js';
 import {createStateCopies} from './state_copies.js';
+import {createStoreReach} from './store_reach.js';
 import type {StorePosition} from './store_position.js';
 import {ageOf, createStorePositions} from './store_positions.js';
 
@@ -55,6 +57,7 @@
 export function createStoreWatch(parts: StoreWatchParts): StoreWatch {
   const {self, members, configuration, registry} = parts;
   const positions = createStorePositions();
+  const reach = createStoreReach();
   const recent = createRecentChanges();
   const copies = createStateCopies({...parts, positions});
   const news = createPeerNews({
@@ -62,13 +65,11 @@
     positions,
     recent,
     copies,
-    reachable: () => reachable,
+    reachable: reach.reachable,
     reads,
     ask,
     registryChanged,
   });
-  let reachable = false;
-  let failedSinceSuccess = false;
   let polledMs = Number.NEGATIVE_INFINITY;
   let checkedMs = Number.NEGATIVE_INFINITY;
   let startedMs: number | undefined;
@@ -104,11 +105,11 @@
   function pollIntervalMs(nowMs: number): number {
     if (reads(nowMs)) return READ_INTERVAL_MS;
     if (ageMs(nowMs) < STALE_AFTER_MS) return Number.POSITIVE_INFINITY;
-    return reachable ? READ_INTERVAL_MS : RETRY_INTERVAL_MS;
+    return reach.reachable() ? READ_INTERVAL_MS : RETRY_INTERVAL_MS;
   }
 
   function reads(nowMs: number): boolean {
-    return chooseReader(self, reachable, members.alive(nowMs)) === self;
+    return chooseReader(self, reach.reachable(), members.alive(nowMs)) === self;
   }
 
   function poll(ctx: GatewayContext): void {
@@ -128,12 +129,7 @@
   function answered(ctx: GatewayContext, position: StorePosition): void {
     position.freshMs = position.askedMs ?? ctx.nowMs;
     position.askedMs = undefined;
-    if (!reachable) {
-      reachable = true;
-      ctx.emit({kind: 'write_log', event: 'WL8002', fields: {reachable}});
-    }
-    if (failedSinceSuccess) {
-      failedSinceSuccess = false;
+    if (reach.answered(ctx)) {
       registry.forgiveUntil(ctx.nowMs + RELISTING_MS);
     }
   }
@@ -148,12 +144,7 @@
       ask(ctx, call);
       return;
     }
-    failedSinceSuccess = true;
-    if (reachable) {
-      reachable = false;
-      const fields = {reachable, call, failure};
-      ctx.emit({kind: 'write_log', event: 'WL8002', fields});
-    }
+    reach.failed(ctx, call, failure);
     if (!loaded()) copies.pullFromAny(ctx);
   }
 
@@ -205,11 +196,7 @@
   }
 
   function registryChanged(ctx: GatewayContext, changes: EntryChange[]): void {
-    for (const {id, entry, unreadable} of changes) {
-      const state = entry?.state ?? (unreadable ? 'unreadable' : 'gone');
-      const fields = {endpoint: id, state, address: entry?.address ?? ''};
-      ctx.emit({kind: 'write_log', event: 'WL8003', fields});
-    }
+    logEntryChanges(ctx, changes);
     parts.registered(ctx);
   }
 
@@ -248,7 +235,7 @@
     },
     expire,
     loaded,
-    reachable: () => reachable,
+    reachable: reach.reachable,
     ageMs,
   };
 }
