--- a/packages/core/src/fleet/fleet_gossip.ts
+++ b/packages/core/src/fleet/fleet_gossip.ts
@@ -53,7 +53,7 @@
   function expire(ctx: GatewayContext): void {
     const {nowMs} = ctx;
     if (news.expire(ctx)) {
-      sendBeat(ctx, addresses(members.alive(nowMs)), {withoutWork: false});
+      sendBeat(ctx, members.addresses(nowMs), {withoutWork: false});
     }
     if (introduced !== 'yes' && nowMs - announceMs >= ANNOUNCE_RETRY_MS) {
       introduce(ctx);
@@ -68,7 +68,7 @@
     }
     if (nowMs - contactMs >= CONTACT_INTERVAL_MS) {
       contactMs = nowMs;
-      const alive = new Set(addresses(members.alive(nowMs)));
+      const alive = new Set(members.addresses(nowMs));
       const silent = addresses([...members.all()]).filter(a => !alive.has(a));
       sendBeat(ctx, silent, {wantsReply: true});
     }
@@ -85,7 +85,7 @@
 
   function forgetDead(ctx: GatewayContext): void {
     const {nowMs} = ctx;
-    const alive = new Set(addresses(members.alive(nowMs)));
+    const alive = new Set(members.addresses(nowMs));
     for (const {address, heardMs} of members.all()) {
       if (alive.has(address)) living.add(address);
       else {
--- a/packages/core/src/fleet/fleet_members.ts
+++ b/packages/core/src/fleet/fleet_members.ts
@@ -17,6 +17,8 @@
   get(address: string): GatewayMember | undefined;
   all(): Iterable<GatewayMember>;
   alive(nowMs: number): GatewayMember[];
+  /** Peer addresses of those that are alive. */
+  addresses(nowMs: number): string[];
   /** Gateways that are alive, this one included. */
   size(nowMs: number): number;
   /**
@@ -83,6 +85,7 @@
     get: address => members.get(address),
     all: () => members.values(),
     alive,
+    addresses: nowMs => alive(nowMs).map(({address}) => address),
     size: nowMs => alive(nowMs).length + 1,
     known: () => members.size + 1,
     prune,
--- a/packages/core/src/fleet/work_news.ts
+++ b/packages/core/src/fleet/work_news.ts
@@ -78,9 +78,7 @@
     }
     const passOn = via !== undefined && trust.trusted(nowMs);
     if (passOn) trust.sent(nowMs);
-    const to = passOn
-      ? [via]
-      : members.alive(nowMs).map(({address}) => address);
+    const to = passOn ? [via] : members.addresses(nowMs);
     if (to.length === 0) return;
     const message: WorkUpdate = {kind: 'work_update', passOn, ...changes};
     ctx.emit({kind: 'send_peers', to, message});
--- a/packages/core/src/forwarding/attempt_failures.ts
+++ b/packages/core/src/forwarding/attempt_failures.ts
@@ -90,7 +90,7 @@
   ): void {
     const pauseMs = health.failed(ctx, endpoint, failure);
     if (failure !== 'connect_failed') return;
-    const to = members.alive(ctx.nowMs).map(({address}) => address);
+    const to = members.addresses(ctx.nowMs);
     if (to.length === 0) return;
     const message = {kind: 'endpoint_doubt', endpoint, pauseMs} as const;
     ctx.emit({kind: 'send_peers', to, message});
--- a/packages/core/src/store_watch/peer_news.ts
+++ b/packages/core/src/store_watch/peer_news.ts
@@ -40,7 +40,7 @@
       return;
     }
     if (!parts.reads(nowMs)) return;
-    const to = members.alive(nowMs).map(({address}) => address);
+    const to = members.addresses(nowMs);
     if (to.length === 0) return;
     ctx.emit({
       kind: 'send_peers',
--- a/packages/core/src/store_watch/store_watch.ts
+++ b/packages/core/src/store_watch/store_watch.ts
@@ -9,25 +9,15 @@
 import type {EndpointRegistry} from '../registry/endpoint_registry.js';
 import type {EntryChange} from '../registry/entry_change.js';
 import {adoptConfiguration} from './adopt_configuration.js';
-import {chooseReader} from './choose_reader.js';
 import {createPeerNews} from './peer_news.js';
 import {createRecentChanges} from './recent_changes.js';
 import {logEntryChanges} from './log_entry_changes.js';
 import {createStateCopies} from './state_copies.js';
+import {createStoreReads} from './store_reads.js';
 import {createStoreReach} from './store_reach.js';
 import type {StorePosition} from './store_position.js';
 import {ageOf, createStorePositions} from './store_positions.js';
 
-/** Pause between two reads of the gateway that reads for all. */
-const READ_INTERVAL_MS = 500;
-/** Who reads is looked up this often, as it walks all gateways. */
-const CHECK_INTERVAL_MS = 20;
-/** Knowledge that is older makes a gateway read the store itself. */
-const STALE_AFTER_MS = 1_050;
-/** Pause between two reads of other gateways while the store fails. */
-const RETRY_INTERVAL_MS = 1_000;
-/** A read without an answer is taken for lost. */
-const READ_TIMEOUT_MS = 1_500;
 /** The store needs about this long to list all living endpoints again. */
 const RELISTING_MS = 2_000;
 /** Time after its start in which a process counts on the store alone. */
@@ -58,6 +48,7 @@
   const {self, members, configuration, registry} = parts;
   const positions = createStorePositions();
   const reach = createStoreReach();
+  const reads = createStoreReads({self, members, positions, reach});
   const recent = createRecentChanges();
   const copies = createStateCopies({...parts, positions});
   const news = createPeerNews({
@@ -66,12 +57,10 @@
     recent,
     copies,
     reachable: reach.reachable,
-    reads,
-    ask,
+    reads: reads.reads,
+    ask: reads.ask,
     registryChanged,
   });
-  let polledMs = Number.NEGATIVE_INFINITY;
-  let checkedMs = Number.NEGATIVE_INFINITY;
   let startedMs: number | undefined;
   /** Whether the registry changed since peers were told. */
   let untold = false;
@@ -84,12 +73,6 @@
   function expire(ctx: GatewayContext): void {
     const {nowMs} = ctx;
     startedMs ??= nowMs;
-    for (const position of Object.values(positions)) {
-      const {askedMs} = position;
-      if (askedMs !== undefined && nowMs - askedMs >= READ_TIMEOUT_MS) {
-        position.askedMs = undefined;
-      }
-    }
     const gone = registry.expire(nowMs);
     if (gone.length > 0) {
       // Peers rely on this gateway's reads, which are past these records.
@@ -97,33 +80,7 @@
       registryChanged(ctx, gone);
       untold = true;
     }
-    if (nowMs - checkedMs < CHECK_INTERVAL_MS) return;
-    checkedMs = nowMs;
-    if (nowMs - polledMs >= pollIntervalMs(nowMs)) poll(ctx);
-  }
-
-  function pollIntervalMs(nowMs: number): number {
-    if (reads(nowMs)) return READ_INTERVAL_MS;
-    if (ageMs(nowMs) < STALE_AFTER_MS) return Number.POSITIVE_INFINITY;
-    return reach.reachable() ? READ_INTERVAL_MS : RETRY_INTERVAL_MS;
-  }
-
-  function reads(nowMs: number): boolean {
-    return chooseReader(self, reach.reachable(), members.alive(nowMs)) === self;
-  }
-
-  function poll(ctx: GatewayContext): void {
-    polledMs = ctx.nowMs;
-    ask(ctx, 'registry');
-    ask(ctx, 'configuration');
-  }
-
-  function ask(ctx: GatewayContext, call: 'configuration' | 'registry'): void {
-    const position = positions[call];
-    if (position.askedMs !== undefined) return;
-    position.askedMs = ctx.nowMs;
-    const fromOffset = position.mustList ? undefined : position.next;
-    ctx.emit({kind: 'read_store', call, fromOffset});
+    reads.expire(ctx);
   }
 
   function answered(ctx: GatewayContext, position: StorePosition): void {
@@ -141,7 +98,7 @@
     position.askedMs = undefined;
     if (failure === 'expired') {
       position.mustList = true;
-      ask(ctx, call);
+      reads.ask(ctx, call);
       return;
     }
     reach.failed(ctx, call, failure);
