--- a/packages/core/src/forwarding/admission.ts
+++ b/packages/core/src/forwarding/admission.ts
@@ -7,11 +7,14 @@
 import type {ForwardedRequest} from './forwarded_request.js';
 import type {Refusal} from './refusal.js';
 
-/** Matches a request with the configuration, or says why it is refused. */
+/**
+ * Matches a request with the configuration, or says why it is refused.
+ * @param arrivedMs steady clock; its time counts from then
+ */
 export function admitRequest(
   configuration: PublishedConfiguration,
   arrived: RequestArrived,
-  nowMs: number,
+  arrivedMs: number,
   random: RandomSource,
 ): Result<ForwardedRequest, Refusal> {
   const current = configuration.current();
@@ -28,10 +31,10 @@
     route,
     service: pickService(route, random),
     customer,
-    arrivedMs: nowMs,
-    deadlineMs: nowMs + Math.min(route.timeoutMs, remainingMs ?? Infinity),
+    arrivedMs,
+    deadlineMs: arrivedMs + Math.min(route.timeoutMs, remainingMs ?? Infinity),
     callerDeadlineMs:
-      remainingMs === undefined ? undefined : nowMs + remainingMs,
+      remainingMs === undefined ? undefined : arrivedMs + remainingMs,
     history: createAttemptHistory(),
     attempts: 0,
     current: undefined,
--- a/packages/core/src/forwarding/forwarding.ts
+++ b/packages/core/src/forwarding/forwarding.ts
@@ -12,9 +12,10 @@
 import {createAttemptAnswers} from './attempt_answers.js';
 import {createAttemptFailures} from './attempt_failures.js';
 import {createDispatcher} from './dispatcher.js';
+import {createEarlyRequests} from './early_requests.js';
 import type {ForwardedRequest} from './forwarded_request.js';
 import type {Refusal} from './refusal.js';
-import {refuse} from './report_end.js';
+import {refuse, reportUnadmitted} from './report_end.js';
 import {createRequestEnd} from './request_end.js';
 import type {RetryAllowance} from './retry_allowance.js';
 import {RETRY_AFTER_MS} from './retry_after.js';
@@ -47,6 +48,7 @@
 export function createForwarding(parts: ForwardingParts): Forwarding {
   const {configuration, health, allowance} = parts;
   const requests = new Map<string, ForwardedRequest>();
+  const early = createEarlyRequests();
   const tickets = createTickets({
     self: parts.self,
     incarnation: parts.incarnation,
@@ -61,10 +63,20 @@
   const answers = createAttemptAnswers({...shared, end, dispatcher, failures});
 
   function arrived(ctx: GatewayContext, event: RequestArrived): void {
+    const {nowMs} = ctx;
+    if (parts.closed() === 'not_ready') early.add({event, arrivedMs: nowMs});
+    else take(ctx, event, nowMs);
+  }
+
+  function take(
+    ctx: GatewayContext,
+    event: RequestArrived,
+    arrivedMs: number,
+  ): void {
     const closed = parts.closed();
     if (closed) return refuse(ctx, event.reqId, closed, RETRY_AFTER_MS);
     const {nowMs, random} = ctx;
-    const admitted = admitRequest(configuration, event, nowMs, random);
+    const admitted = admitRequest(configuration, event, arrivedMs, random);
     if (!admitted.ok) return refuse(ctx, event.reqId, admitted.val, undefined);
     const req = admitted.val;
     requests.set(req.reqId, req);
@@ -74,12 +86,19 @@
 
   function callerLeft(ctx: GatewayContext, event: CallerLeft): void {
     const req = requests.get(event.reqId);
-    if (!req) return;
-    end.cancel(ctx, req);
-    end.finish(ctx, req, 'caller_left', '');
+    if (req) {
+      end.cancel(ctx, req);
+      end.finish(ctx, req, 'caller_left', '');
+    } else if (early.left(event.reqId)) {
+      reportUnadmitted(ctx, event.reqId, 'caller_left', '');
+    }
   }
 
   function expire(ctx: GatewayContext): void {
+    const known = parts.closed() !== 'not_ready';
+    for (const {event, arrivedMs} of early.take(ctx.nowMs, known)) {
+      take(ctx, event, arrivedMs);
+    }
     for (const req of [...requests.values()]) {
       if (ctx.nowMs >= req.deadlineMs) timedOut(ctx, req);
       else if (req.current) failures.checkSilence(ctx, req);
@@ -116,7 +135,7 @@
       expire(ctx);
       tickets.expire?.(ctx);
     },
-    inFlight: () => requests.size,
+    inFlight: () => requests.size + early.size(),
     cutAll,
   };
 }
--- a/packages/core/src/forwarding/report_end.ts
+++ b/packages/core/src/forwarding/report_end.ts
@@ -10,9 +10,19 @@
   retryAfterMs: number | undefined,
 ): void {
   ctx.emit({kind: 'refuse', reqId, refusal, retryAfterMs});
-  const fields = {reqId, outcome: 'refused', detail: refusal};
+  reportUnadmitted(ctx, reqId, 'refused', refusal);
+}
+
+/** Reports how a request ended that was not admitted. */
+export function reportUnadmitted(
+  ctx: GatewayContext,
+  reqId: string,
+  outcome: 'refused' | 'caller_left',
+  detail: string,
+): void {
+  const fields = {reqId, outcome, detail};
   ctx.emit({kind: 'write_log', event: 'WL8302', fields});
-  count(ctx, '', 'refused');
+  count(ctx, '', outcome);
 }
 
 /** Reports how an admitted request ended. */
