--- a/packages/core/src/endpoint_health/endpoint_health.test.ts
+++ b/packages/core/src/endpoint_health/endpoint_health.test.ts
@@ -8,6 +8,7 @@
   started,
 } from '../mocks/gateway_harness.js';
 import {endpointEntry} from '../mocks/gateway_parts.js';
+import {beatOf} from '../mocks/peer_parts.js';
 import type {GatewayEvent} from '../gateway/events/gateway_event.js';
 import type {PeerMessage} from '../fleet/messages/peer_message.js';
 
@@ -80,17 +81,7 @@
 
 test('peers are told of an endpoint out of reach and spare it', () => {
   const gateway = readyGateway({entries: TWO_ENGINES});
-  gateway.step(
-    fromPeer({
-      kind: 'beat',
-      failureDomain: 'amman-1',
-      storeReachable: true,
-      draining: false,
-      wantsReply: false,
-      withoutWork: false,
-      work: [],
-    }),
-  );
+  gateway.step(fromPeer(beatOf()));
   gateway.step(requestArrived());
   const actions = gateway.step(attemptFailed('connect_failed'));
   const doubt = actions.find(
--- a/packages/core/src/fleet/fleet_gossip.test.ts
+++ b/packages/core/src/fleet/fleet_gossip.test.ts
@@ -11,43 +11,13 @@
   startedGateway,
 } from '../mocks/gateway_harness.js';
 import {endpointEntry} from '../mocks/gateway_parts.js';
-import type {Beat} from './messages/beat.js';
+import {beatOf, peerReceived, workNotice} from '../mocks/peer_parts.js';
 import type {PeerMessage} from './messages/peer_message.js';
-import type {WorkNotice} from './messages/work_notice.js';
 
 const PEER = '10.0.0.2:7000';
 
 function fromPeer(message: PeerMessage, incarnation = 1): GatewayEvent {
-  return {kind: 'peer_received', from: PEER, incarnation, message};
-}
-
-function beat(over: Partial<Beat> = {}): Beat {
-  return {
-    kind: 'beat',
-    failureDomain: 'amman-2',
-    storeReachable: false,
-    draining: false,
-    wantsReply: false,
-    withoutWork: false,
-    work: [],
-    ...over,
-  };
-}
-
-function notice(over: Partial<WorkNotice> = {}): WorkNotice {
-  return {
-    work: 1,
-    main: 'e1',
-    helpers: [],
-    shared: false,
-    promptTokens: 200_000,
-    outputTokens: 100,
-    dueInMs: 3_000,
-    gapMs: 1_000,
-    ageMs: 0,
-    writing: false,
-    ...over,
-  };
+  return peerReceived(PEER, message, incarnation);
 }
 
 function sent(actions: GatewayAction[]): SendPeers[] {
@@ -88,7 +58,7 @@
 
 test('peers learn of work when it starts, writes and ends', () => {
   const gateway = twoEngines();
-  gateway.step(fromPeer(beat()));
+  gateway.step(fromPeer(beatOf()));
   const updates = [
     gateway.step(requestArrived()),
     gateway.step(piece(1), 100),
@@ -108,15 +78,15 @@
 
 test("a peer's work counts in the choice of an engine", () => {
   const gateway = twoEngines();
-  const work = [notice({main: 'e1'})];
-  gateway.step(fromPeer(beat({work})));
+  const work = [workNotice({main: 'e1'})];
+  gateway.step(fromPeer(beatOf({work})));
   assert.equal(started(gateway.step(requestArrived()))?.endpoint, 'e2');
 });
 
 test('a beat heals lost updates in both directions', () => {
   const gateway = twoEngines();
-  gateway.step(fromPeer(beat({work: [notice({work: 7, main: 'e1'})]})));
-  gateway.step(fromPeer(beat({work: [notice({work: 8, main: 'e2'})]})));
+  gateway.step(fromPeer(beatOf({work: [workNotice({work: 7, main: 'e1'})]})));
+  gateway.step(fromPeer(beatOf({work: [workNotice({work: 8, main: 'e2'})]})));
   assert.equal(started(gateway.step(requestArrived()))?.endpoint, 'e1');
 });
 
@@ -137,8 +107,8 @@
     },
   ]) {
     const gateway = twoEngines();
-    const works = ['e1', 'e2'].map((main, i) => notice({work: i, main}));
-    gateway.step(fromPeer(beat({work: works})));
+    const works = ['e1', 'e2'].map((main, i) => workNotice({work: i, main}));
+    gateway.step(fromPeer(beatOf({work: works})));
     forget(gateway);
     const actions = gateway.step(requestArrived());
     const log = actions.find(
@@ -151,7 +121,7 @@
 
 test('a gateway that falls silent is logged once', () => {
   const gateway = twoEngines();
-  gateway.step(fromPeer(beat()));
+  gateway.step(fromPeer(beatOf()));
   const lines = Array.from({length: 6}, () =>
     gateway.step({kind: 'tick'}, 1_000),
   )
@@ -162,8 +132,8 @@
 
 test('messages of an earlier start are dropped', () => {
   const gateway = twoEngines();
-  gateway.step(fromPeer(beat(), 5));
-  gateway.step(fromPeer(beat({work: [notice({main: 'e1'})]}), 4));
+  gateway.step(fromPeer(beatOf(), 5));
+  gateway.step(fromPeer(beatOf({work: [workNotice({main: 'e1'})]}), 4));
   const first = started(gateway.step(requestArrived()));
   const second = started(gateway.step(requestArrived({reqId: 'r2'})));
   assert.equal(first?.endpoint, second?.endpoint);
--- a/packages/core/src/fleet/work_news.test.ts
+++ b/packages/core/src/fleet/work_news.test.ts
@@ -10,8 +10,8 @@
   type GatewayHarness,
 } from '../mocks/gateway_harness.js';
 import {endpointEntry} from '../mocks/gateway_parts.js';
+import {beatOf, peerReceived, workNotice} from '../mocks/peer_parts.js';
 import type {PeerMessage} from './messages/peer_message.js';
-import type {WorkNotice} from './messages/work_notice.js';
 
 const PEERS = Array.from({length: 13}, (_, i) => `10.0.0.${i + 20}:7000`);
 const NEAR = PEERS.slice(0, 7);
@@ -19,34 +19,7 @@
 const FAR_RELAY = '10.0.0.32:7000';
 
 function fromPeer(from: string, message: PeerMessage): GatewayEvent {
-  return {kind: 'peer_received', from, incarnation: 5, message};
-}
-
-function beat(failureDomain: string): PeerMessage {
-  return {
-    kind: 'beat',
-    failureDomain,
-    storeReachable: false,
-    draining: false,
-    wantsReply: false,
-    withoutWork: false,
-    work: [],
-  };
-}
-
-function notice(main: string): WorkNotice {
-  return {
-    work: 1,
-    main,
-    helpers: [],
-    shared: false,
-    promptTokens: 200_000,
-    outputTokens: 100,
-    dueInMs: 3_000,
-    gapMs: 1_000,
-    ageMs: 0,
-    writing: false,
-  };
+  return peerReceived(from, message, 5);
 }
 
 /** A gateway with two engines that has heard 13 others. */
@@ -54,8 +27,8 @@
   const entries = [endpointEntry({id: 'e1'}), endpointEntry({id: 'e2'})];
   const gateway = readyGateway({cfg: {address}, entries});
   for (const peer of PEERS) {
-    const domain = NEAR.includes(peer) ? 'amman-1' : 'amman-2';
-    gateway.step(fromPeer(peer, beat(domain)));
+    const failureDomain = NEAR.includes(peer) ? 'amman-1' : 'amman-2';
+    gateway.step(fromPeer(peer, beatOf({failureDomain})));
   }
   gateway.step({kind: 'tick'}, 10);
   return gateway;
@@ -121,7 +94,7 @@
 test('a relay gathers changes, once for each other failure domain', () => {
   const self = '10.0.0.99:7000';
   const gateway = largeFleet(self);
-  const changes = {started: [notice('e1')], writing: [], ended: []};
+  const changes = {started: [workNotice({main: 'e1'})], writing: [], ended: []};
   const update = {kind: 'work_update', passOn: true, ...changes} as const;
   const actions = [
     ...gateway.step(fromPeer(NEAR[0]!, update)),
@@ -157,7 +130,7 @@
     changes: ['e1', 'e2'].map((main, i) => ({
       member: PEERS[i]!,
       incarnation,
-      started: [notice(main)],
+      started: [workNotice({main})],
       writing: [],
       ended: [],
     })),
--- /dev/null
+++ b/packages/core/src/mocks/peer_parts.ts
@@ -0,0 +1,44 @@
+import type {Beat} from '../fleet/messages/beat.js';
+import type {PeerMessage} from '../fleet/messages/peer_message.js';
+import type {WorkNotice} from '../fleet/messages/work_notice.js';
+import type {GatewayEvent} from '../gateway/events/gateway_event.js';
+
+/** A message of another gateway. */
+export function peerReceived(
+  from: string,
+  message: PeerMessage,
+  incarnation = 1,
+): GatewayEvent {
+  return {kind: 'peer_received', from, incarnation, message};
+}
+
+/** The beat of a gateway without work in another failure domain. */
+export function beatOf(over: Partial<Beat> = {}): Beat {
+  return {
+    kind: 'beat',
+    failureDomain: 'amman-2',
+    storeReachable: false,
+    draining: false,
+    wantsReply: false,
+    withoutWork: false,
+    work: [],
+    ...over,
+  };
+}
+
+/** A long prompt that is read on the engine `e1`. */
+export function workNotice(over: Partial<WorkNotice> = {}): WorkNotice {
+  return {
+    work: 1,
+    main: 'e1',
+    helpers: [],
+    shared: false,
+    promptTokens: 200_000,
+    outputTokens: 100,
+    dueInMs: 3_000,
+    gapMs: 1_000,
+    ageMs: 0,
+    writing: false,
+    ...over,
+  };
+}
--- a/packages/core/src/store_watch/store_watch.test.ts
+++ b/packages/core/src/store_watch/store_watch.test.ts
@@ -17,6 +17,7 @@
   startedGateway,
 } from '../mocks/gateway_harness.js';
 import {configuration, endpointEntry} from '../mocks/gateway_parts.js';
+import {beatOf} from '../mocks/peer_parts.js';
 
 /** Sorts before the gateway of the tests, so it reads for both. */
 const READER = '10.0.0.0:7000';
@@ -26,16 +27,7 @@
 }
 
 function beat(over: Partial<Beat> = {}): Beat {
-  return {
-    kind: 'beat',
-    failureDomain: 'amman-1',
-    storeReachable: true,
-    draining: false,
-    wantsReply: false,
-    withoutWork: false,
-    work: [],
-    ...over,
-  };
+  return beatOf({storeReachable: true, ...over});
 }
 
 function news(over: Partial<StoreNews> = {}): StoreNews {
