--- a/scripts/fleet/platform_demo.mjs
+++ b/scripts/fleet/platform_demo.mjs
@@ -7,10 +7,12 @@
 import {LOAD_KINDS} from '../../platform/dist/mocks/load_kind.js';
 import {loadText} from '../../platform/dist/mocks/load_text.js';
 import {startGatewayFleet} from './gateway_fleet.mjs';
+import {startRecord} from './run_record.mjs';
 
 const LOAD_MS = 16_000;
 /** Memory of an engine, as at the users. */
 const ENGINE_MEMORY_TOKENS = 315_000;
+const RECORD_FILE = 'run/platform_demo.json';
 /** A balancer asks this often which gateways are ready. */
 const PROBE_INTERVAL_MS = 200;
 
@@ -71,6 +73,7 @@
   const {gateways} = fleet;
   let ready = gateways.map(gateway => gateway.started.caller);
   let over = false;
+  const record = startRecord(fleet);
   const probing = (async () => {
     while (!over) {
       const answers = await Promise.all(gateways.map(probe));
@@ -91,15 +94,22 @@
     key: 'key-1',
     gateways: () => ready,
     random: createSeededRandom(seed),
-    ended: (id, {status, firstMs}, outcome) => {
+    ended: request => {
+      record.request(request);
+      const {attemptId, outcome, answer} = request;
       if (outcome === 'in_aim') return;
-      say(`${id}: ${outcome}, status ${status}, ${firstMs.toFixed(0)} ms`);
+      const {status, firstMs} = answer;
+      say(
+        `${attemptId}: ${outcome}, status ${status}, ${firstMs.toFixed(0)} ms`,
+      );
     },
   });
   await failing;
   over = true;
   await probing;
+  await record.write(RECORD_FILE);
   process.stdout.write(`\n${loadText(rows)}\n`);
+  say(`plots: node scripts/plot_run.mjs ${RECORD_FILE} run/plots.svg`);
   return held(rows, fleet.platform);
 }
 
