--- a/packages/core/src/fleet/fleet_gossip.ts
+++ b/packages/core/src/fleet/fleet_gossip.ts
@@ -5,6 +5,7 @@
 import type {GatewayFeature} from '../gateway/gateway_feature.js';
 import {usesRelays} from './choose_relay.js';
 import type {FleetMembers} from './fleet_members.js';
+import {logSilent} from './log_silent.js';
 import type {MemberRecord} from './member_record.js';
 import type {Beat} from './messages/beat.js';
 import type {Work} from './work.js';
@@ -96,16 +97,6 @@
     members.prune(nowMs);
   }
 
-  function logSilent(
-    ctx: GatewayContext,
-    member: string,
-    heardMs: number | undefined,
-  ): void {
-    const silentMs = Math.round(ctx.nowMs - (heardMs ?? ctx.nowMs));
-    const fields = {member, silentMs};
-    ctx.emit({kind: 'write_log', event: 'WL8102', fields});
-  }
-
   function membersRead(ctx: GatewayContext, event: MembersRead): void {
     introduced = 'yes';
     const known = new Set(addresses([...members.all()]));
--- a/packages/core/src/requests/request_tracker.ts
+++ b/packages/core/src/requests/request_tracker.ts
@@ -1,14 +1,14 @@
-import type {AttemptDelta} from '../router/events/attempt_delta.js';
-import type {AttemptEnded} from '../router/events/attempt_ended.js';
-import type {AttemptFailed} from '../router/events/attempt_failed.js';
 import type {RouterContext} from '../router/router_context.js';
 import type {OutcomeCode} from '../types/outcome_code.js';
-import type {RouteChoice} from '../routing/route_choice.js';
+import type {AttemptProgress} from './attempt_progress.js';
 import type {EndReason} from './end_reason.js';
 import type {RequestState} from './request_state.js';
 
 /** Lifecycle of admitted requests. */
-export interface RequestTracker {
+export interface RequestTracker extends Pick<
+  AttemptProgress,
+  'startAttempt' | 'delta' | 'ended' | 'failed'
+> {
   /** Takes a request whose phase is `claiming` or `queued`. */
   admit(ctx: RouterContext, state: RequestState): void;
   /** A claim was granted: the request may be dispatched. */
@@ -17,14 +17,6 @@
   /** Requests that have not ended. */
   size(): number;
   all(): Iterable<RequestState>;
-  startAttempt(
-    ctx: RouterContext,
-    state: RequestState,
-    choice: RouteChoice,
-  ): void;
-  delta(ctx: RouterContext, event: AttemptDelta): void;
-  ended(ctx: RouterContext, event: AttemptEnded): void;
-  failed(ctx: RouterContext, event: AttemptFailed): void;
   /** Marks a queued request as waiting for its reservations. */
   reserving(reqId: string): void;
   /** Lets a request that could not be reserved for return to the queue later. */
