--- a/packages/core/src/configuration/route_table.test.ts
+++ b/packages/core/src/configuration/route_table.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {fuzzRuns} from '../mocks/fuzz_runs.js';
 import fc from 'fast-check';
 import {streamRoute} from '../mocks/gateway_parts.js';
 import type {Route} from './route.js';
@@ -35,6 +36,6 @@
       const found = createRouteTable(routes).find('llm.example', path);
       assert.equal(found?.prefix, expected);
     }),
-    {seed: 1, numRuns: 500},
+    fuzzRuns(500),
   );
 });
--- /dev/null
+++ b/packages/core/src/mocks/fuzz_runs.ts
@@ -0,0 +1,17 @@
+import process from 'node:process';
+
+/** Parameters of a property test. */
+export interface FuzzRuns {
+  seed: number;
+  numRuns: number;
+}
+
+/**
+ * Fixed seed and the usual number of runs; `WL_FUZZ_RUNS` multiplies the
+ * runs, and `WL_FUZZ_SEED` replaces the seed.
+ */
+export function fuzzRuns(numRuns: number): FuzzRuns {
+  const times = Number(process.env['WL_FUZZ_RUNS'] ?? 1);
+  const seed = Number(process.env['WL_FUZZ_SEED'] ?? 1);
+  return {seed, numRuns: numRuns * times};
+}
--- a/packages/gateway/src/callers/caller_server.test.ts
+++ b/packages/gateway/src/callers/caller_server.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import {test, type TestContext} from 'node:test';
+import fc from 'fast-check';
 import type {CallerLimits} from '@wisterialadder/core/configuration/caller_limits.js';
+import {fuzzRuns} from '@wisterialadder/core/mocks/fuzz_runs.js';
 import {startCallerHarness, type CallerHarness} from '../mocks/callers.js';
 
 const LIMITS: CallerLimits = {
@@ -71,6 +73,67 @@
   });
 }
 
+/** Requests with parts that are wrong, doubled, cut or out of order. */
+const BROKEN_BYTES = fc.oneof(
+  fc.uint8Array({maxLength: 300}).map(bytes => Buffer.from(bytes)),
+  fc
+    .array(
+      fc.constantFrom(
+        'POST /a HTTP/1.1\r\n',
+        'GET http://y/a HTTP/1.1\r\n',
+        'POST /a HTTP/9.9\r\n',
+        'host: x\r\n',
+        'host: y\r\n',
+        'req-id: r0\r\n',
+        'content-length: 3\r\n',
+        'content-length: -1\r\n',
+        'content-length: 3, 5\r\n',
+        'transfer-encoding: chunked\r\n',
+        'transfer-encoding: chunked, gzip\r\n',
+        ' folded\r\n',
+        'no colon\r\n',
+        '\r\n',
+        '\n',
+        '3\r\nabc\r\n',
+        'ffffffffffffffff\r\n',
+        '0\r\n\r\n',
+        'abc',
+      ),
+      {maxLength: 12},
+    )
+    .map(parts => Buffer.from(parts.join(''))),
+);
+
+const RUN_TIMEOUT_MS = 5_000;
+
+/** The open request that its caller calls `sound`. */
+function soundRequest({open}: CallerHarness) {
+  return [...open.values()].find(({callerId}) => callerId === 'sound');
+}
+
+test('whatever bytes come, the next request is unharmed', async t => {
+  const harness = await fixture(t);
+  await fc.assert(
+    fc.asyncProperty(BROKEN_BYTES, async bytes => {
+      const broken = await harness.connect();
+      broken.socket.on('error', () => undefined);
+      broken.socket.write(bytes);
+      const sound = await harness.connect();
+      sound.socket.write(post('body', 'sound'));
+      while (!soundRequest(harness)) {
+        await new Promise(resolve => setTimeout(resolve, 2));
+      }
+      assert.equal(soundRequest(harness)?.body.toString(), 'body');
+      broken.socket.destroy();
+      sound.socket.destroy();
+      while (soundRequest(harness)) {
+        await new Promise(resolve => setTimeout(resolve, 2));
+      }
+    }),
+    {...fuzzRuns(60), timeout: RUN_TIMEOUT_MS},
+  );
+});
+
 test('a caller that leaves is noticed, one that was answered is not', async t => {
   const harness = await fixture(t);
   const caller = await harness.connect();
--- a/packages/gateway/src/endpoints/piece_framer.test.ts
+++ b/packages/gateway/src/endpoints/piece_framer.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {fuzzRuns} from '@wisterialadder/core/mocks/fuzz_runs.js';
 import fc from 'fast-check';
 import {createPieceFramer} from './piece_framer.js';
 
@@ -45,7 +46,7 @@
         assert.equal(framer.pendingBytes(), tail.length);
       },
     ),
-    {seed: 1, numRuns: 500},
+    fuzzRuns(500),
   );
 });
 
--- a/packages/gateway/src/peers/datagram_codec.test.ts
+++ b/packages/gateway/src/peers/datagram_codec.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {fuzzRuns} from '@wisterialadder/core/mocks/fuzz_runs.js';
 import fc from 'fast-check';
 import type {EntryChange} from '@wisterialadder/core/registry/entry_change.js';
 import type {WorkNotice} from '@wisterialadder/core/fleet/messages/work_notice.js';
@@ -105,7 +106,7 @@
       assert.equal(decoded?.incarnation, 1_234);
       assert.deepEqual(plain(decoded?.message), plain(message));
     }),
-    {seed: 1, numRuns: 300},
+    fuzzRuns(300),
   );
 });
 
@@ -114,7 +115,7 @@
     fc.property(fc.uint8Array({maxLength: 200}), bytes => {
       decodeDatagram(bytes);
     }),
-    {seed: 1, numRuns: 2_000},
+    fuzzRuns(2_000),
   );
   assert.equal(decodeDatagram(new Uint8Array()), undefined);
 });
