--- a/scripts/fleet/gateway_fleet.mjs
+++ b/scripts/fleet/gateway_fleet.mjs
@@ -1,11 +1,11 @@
 // Gateways as separate processes before a stand-in of the users' platform.
 import {mkdtempSync, rmSync} from 'node:fs';
-import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {startDoublePlatform} from '../../platform/dist/mocks/double_platform.js';
 import {sendRequest} from '../../platform/dist/mocks/double_client.js';
+import {freePort} from './free_port.mjs';
 import {startProcess} from './process.mjs';
 
 const BIN = 'platform/dist/main.js';
@@ -13,15 +13,6 @@
 const READY_TIMEOUT_MS = 10_000;
 const KEY = 'key-1';
 
-/** A port that is free on loopback; all gateways use it for their peers. */
-async function freePort() {
-  const server = createServer();
-  await new Promise(resolve => server.listen(0, '127.0.0.1', resolve));
-  const {port} = server.address();
-  await new Promise(resolve => server.close(resolve));
-  return port;
-}
-
 /** Starts a platform and gateways; every gateway has an address of its own. */
 export async function startGatewayFleet({
   gateways: count = 2,
@@ -39,13 +30,14 @@
     memoryTokens,
     front,
   });
-  const port = await freePort();
+  const ips = Array.from({length: count}, (_, i) => `127.0.0.${i + 2}`);
+  const port = await freePort(ips);
   const processes = [];
-  const seeds = Array.from({length: count}, (_, i) => `127.0.0.${i + 2}:1`);
+  const seeds = ips.map(ip => `${ip}:1`);
   let sent = 0;
 
   async function start(index) {
-    const ip = `127.0.0.${index + 2}`;
+    const ip = ips[index];
     const gateway = await startProcess({
       name: `gateway-${index + 1}-${processes.length}`,
       bin,
@@ -107,7 +99,13 @@
   }
 
   const gateways = [];
-  for (let i = 0; i < count; i++) gateways.push(await start(i));
-  await Promise.all(gateways.map(gateway => ready(gateway)));
+  try {
+    for (let i = 0; i < count; i++) gateways.push(await start(i));
+    await Promise.all(gateways.map(gateway => ready(gateway)));
+  } catch (err) {
+    // Processes left behind would keep the test runner waiting for ever.
+    await stop();
+    throw err;
+  }
   return {platform, gateways, start, send, ready, status, stop};
 }
--- a/scripts/fleet/process.mjs
+++ b/scripts/fleet/process.mjs
@@ -6,6 +6,7 @@
 const START_TIMEOUT_MS = 15_000;
 const STARTED_EVENT = 'WL9001';
 const MAX_LINES_KEPT = 20_000;
+const LAST_LINES = 3;
 
 /** Writes an object of sections as INI text. */
 export function toIni(sections) {
@@ -34,7 +35,7 @@
   });
   child.stderr.pipe(log, {end: false});
   const lines = [];
-  const started = await firstStart(name, child, exited, line => {
+  const started = await firstStart(name, child, line => {
     log.write(`${line}\n`);
     lines.push(line);
     if (lines.length > MAX_LINES_KEPT) lines.shift();
@@ -54,15 +55,27 @@
   };
 }
 
-function firstStart(name, child, exited, onLine) {
+function firstStart(name, child, onLine) {
   return new Promise((resolve, reject) => {
     const timer = setTimeout(
       () => reject(new Error(`${name} did not start in time`)),
       START_TIMEOUT_MS,
     );
-    exited.then(() => reject(new Error(`${name} ended at start`)));
+    const last = [];
+    const keep = text => {
+      last.push(String(text));
+      if (last.length > LAST_LINES) last.shift();
+    };
+    child.stderr.on('data', keep);
+    // `close` follows the last output, which tells why the process ended.
+    child.once('close', (code, signal) => {
+      clearTimeout(timer);
+      const why = `${code ?? signal}: ${last.join('\n')}`;
+      reject(new Error(`${name} ended at start with ${why}`));
+    });
     createInterface({input: child.stdout}).on('line', line => {
       onLine(line);
+      keep(line);
       if (!line.includes(STARTED_EVENT)) return;
       clearTimeout(timer);
       resolve(JSON.parse(line).context);
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -5,6 +5,8 @@
 import {join} from 'node:path';
 
 const KNOWN_RED = 'KNOWN-RED.txt';
+// A test that hangs fails instead of using up the time of the whole run.
+const FILE_TIMEOUT_MS = 900_000;
 
 function knownRed(prefix) {
   if (!existsSync(KNOWN_RED)) return [];
@@ -51,6 +53,7 @@
   '--test',
   '--test-reporter=spec',
   '--test-concurrency=4',
+  `--test-timeout=${FILE_TIMEOUT_MS}`,
   ...(red.length === 0 ? [] : [`--test-name-pattern=${allBut(red)}`]),
   ...files,
 ];
