Send beats of large fleets through the relay of the failure domain

Change: beats go to the relay of the failure domain, which passes them on in its digests, as it did changes of work. A gateway whose relay does not answer tells and asks everybody; members of which nothing is heard are asked directly, since relays may be cut off from each other. Introduction and beats have files of their own. Ruled out: a list of the living from each relay, whose ages add up over three hops to more than the time after which a member counts as dead.

--- a/packages/core/src/fleet/fleet_gossip.ts
+++ b/packages/core/src/fleet/fleet_gossip.ts
@@ -3,23 +3,22 @@
 import type {StoreFailed} from '../gateway/events/store_failed.js';
 import type {GatewayContext} from '../gateway/gateway_context.js';
 import type {GatewayFeature} from '../gateway/gateway_feature.js';
-import {usesRelays} from './choose_relay.js';
+import {createBeats} from './beats.js';
 import type {FleetMembers} from './fleet_members.js';
+import {createFleetRelay} from './fleet_relay.js';
+import {createIntroduction} from './introduction.js';
 import {logSilent} from './log_silent.js';
 import type {MemberRecord} from './member_record.js';
-import type {Beat} from './messages/beat.js';
+import type {FleetDigest} from './messages/fleet_digest.js';
+import type {GatewayState} from './messages/gateway_state.js';
+import {createRelayLink} from './relay_link.js';
 import type {Work} from './work.js';
 import type {WorkBoard} from './work_board.js';
 import {createWorkNews} from './work_news.js';
-import {noticeOf, workOf} from './work_notices.js';
+import {workOf} from './work_notices.js';
 
-/** Pause between two beats. */
-const BEAT_INTERVAL_MS = 1_000;
-/** In a large fleet, so many beats come to one that holds all work. */
-const BEATS_TO_WORK = 4;
-/** Pause between two attempts to reach a member that is silent. */
-const CONTACT_INTERVAL_MS = 2_000;
-const ANNOUNCE_RETRY_MS = 1_000;
+/** Pause between two looks for members that have fallen silent. */
+const SILENCE_CHECK_INTERVAL_MS = 500;
 
 /** Tells other gateways that this one lives and what it has in flight. */
 export interface FleetGossip extends GatewayFeature {
@@ -42,46 +41,22 @@
 /** Creates the gossip of a gateway that has just started. */
 export function createFleetGossip(parts: FleetGossipParts): FleetGossip {
   const {self, members, board} = parts;
-  // Gateways send their work at different times.
-  let beats = self.incarnation % BEATS_TO_WORK;
-  let beatMs = Number.NEGATIVE_INFINITY;
-  let contactMs = Number.NEGATIVE_INFINITY;
-  let announceMs = Number.NEGATIVE_INFINITY;
+  const link = createRelayLink(parts);
+  const relay = createFleetRelay(self.failureDomain, members);
+  const beats = createBeats({...parts, link, relay});
+  const news = createWorkNews({...parts, link, relay});
+  const introduction = createIntroduction(self);
   const living = new Set<string>();
-  let introduced: 'no' | 'announced' | 'yes' = 'no';
-  const news = createWorkNews(parts);
+  let silenceCheckMs = Number.NEGATIVE_INFINITY;
 
   function expire(ctx: GatewayContext): void {
-    const {nowMs} = ctx;
-    if (news.expire(ctx)) {
-      sendBeat(ctx, members.addresses(nowMs), {withoutWork: false});
-    }
-    if (introduced !== 'yes' && nowMs - announceMs >= ANNOUNCE_RETRY_MS) {
-      introduce(ctx);
-    }
-    if (nowMs - beatMs >= BEAT_INTERVAL_MS) {
-      beatMs = nowMs;
+    introduction.expire(ctx);
+    if (ctx.nowMs - silenceCheckMs >= SILENCE_CHECK_INTERVAL_MS) {
+      silenceCheckMs = ctx.nowMs;
       forgetDead(ctx);
-      beats += 1;
-      const alive = members.alive(nowMs);
-      const withoutWork = usesRelays(alive) && beats % BEATS_TO_WORK !== 0;
-      sendBeat(ctx, addresses(alive), {withoutWork});
-    }
-    if (nowMs - contactMs >= CONTACT_INTERVAL_MS) {
-      contactMs = nowMs;
-      const alive = new Set(members.addresses(nowMs));
-      const silent = addresses([...members.all()]).filter(a => !alive.has(a));
-      sendBeat(ctx, silent, {wantsReply: true});
-    }
-  }
-
-  /** Announces this gateway, then asks who else has done so. */
-  function introduce(ctx: GatewayContext): void {
-    announceMs = ctx.nowMs;
-    if (introduced === 'no') ctx.emit({kind: 'announce_member', record: self});
-    else {
-      ctx.emit({kind: 'read_store', call: 'members', fromOffset: undefined});
     }
+    beats.expire(ctx);
+    relay.expire(ctx);
   }
 
   function forgetDead(ctx: GatewayContext): void {
@@ -98,78 +73,83 @@
   }
 
   function membersRead(ctx: GatewayContext, event: MembersRead): void {
-    introduced = 'yes';
-    const known = new Set(addresses([...members.all()]));
+    introduction.completed();
+    const known = new Set([...members.all()].map(({address}) => address));
     for (const record of event.members) members.know(ctx.nowMs, record);
-    const added = addresses([...members.all()]).filter(a => !known.has(a));
-    sendBeat(ctx, added, {wantsReply: true});
+    const all = [...members.all()].map(({address}) => address);
+    beats.greet(
+      ctx,
+      all.filter(address => !known.has(address)),
+    );
   }
 
-  function received(ctx: GatewayContext, event: PeerReceived): void {
-    const {from, incarnation, message} = event;
-    if (from === self.address) return;
-    const before = members.get(from);
-    if (before && incarnation > before.incarnation) board.replace(from, []);
+  /** Notes a sign of life; false if it comes from an earlier start. */
+  function heard(
+    ctx: GatewayContext,
+    member: string,
+    incarnation: number,
+  ): boolean {
+    const before = members.get(member);
+    if (before && incarnation > before.incarnation) board.replace(member, []);
     const firstSign = before?.heardMs === undefined;
-    if (!members.heard(ctx.nowMs, from, incarnation)) return;
+    if (!members.heard(ctx.nowMs, member, incarnation)) return false;
     if (firstSign) {
-      const fields = {member: from, incarnation};
+      const fields = {member, incarnation};
       ctx.emit({kind: 'write_log', event: 'WL8101', fields});
     }
-    if (message.kind === 'beat') beatReceived(ctx, from, message);
-    if (message.kind === 'work_update') {
-      news.updateReceived(ctx, from, message);
-    }
-    if (message.kind === 'work_digest') {
-      news.digestReceived(ctx, message);
+    return true;
+  }
+
+  function received(ctx: GatewayContext, event: PeerReceived): void {
+    const {from, incarnation, message} = event;
+    if (from === self.address || !heard(ctx, from, incarnation)) return;
+    switch (message.kind) {
+      case 'beat': {
+        const {kind: _kind, wantsReply, passOn, ...state} = message;
+        stateReceived(ctx, from, state);
+        if (passOn) relay.addOwnBeat({member: from, incarnation, ...state});
+        if (wantsReply) beats.reply(ctx, from);
+        return;
+      }
+      case 'work_update':
+        return news.updateReceived(ctx, from, message);
+      case 'fleet_digest':
+        return digestReceived(ctx, message);
+      default:
+        return;
     }
   }
 
-  function beatReceived(ctx: GatewayContext, from: string, beat: Beat): void {
-    members.beat(from, beat);
-    const {nowMs} = ctx;
-    if (!beat.withoutWork) {
-      board.replace(
-        from,
-        beat.work.map(notice => workOf(notice, from, nowMs)),
-      );
+  function digestReceived(ctx: GatewayContext, digest: FleetDigest): void {
+    if (digest.passOn) relay.addForeign(digest);
+    const told = [...digest.changes, ...digest.beats];
+    if (told.some(({member}) => member === self.address)) link.confirmed();
+    for (const {member, incarnation, ...state} of digest.beats) {
+      if (member === self.address || !heard(ctx, member, incarnation)) continue;
+      stateReceived(ctx, member, state);
     }
-    if (beat.wantsReply) sendBeat(ctx, [from]);
+    news.digestReceived(ctx, digest);
   }
 
-  function sendBeat(
+  function stateReceived(
     ctx: GatewayContext,
-    to: string[],
-    {wantsReply = false, withoutWork = false}: Partial<Beat> = {},
+    member: string,
+    state: GatewayState,
   ): void {
-    if (to.length === 0) return;
-    const work = withoutWork ? [] : [...board.ofMember(self.address)];
-    ctx.emit({
-      kind: 'send_peers',
-      to,
-      message: {
-        kind: 'beat',
-        failureDomain: self.failureDomain,
-        storeReachable: parts.storeReachable(),
-        draining: parts.draining(),
-        wantsReply,
-        withoutWork,
-        work: work.map(item => noticeOf(item, ctx.nowMs)),
-      },
-    });
+    members.told(member, state);
+    if (state.withoutWork) return;
+    const works = state.work.map(notice => workOf(notice, member, ctx.nowMs));
+    board.replace(member, works);
   }
 
   function failed(_ctx: GatewayContext, event: StoreFailed): void {
-    // A failed call of either kind is repeated by `expire`.
-    if (event.call === 'members') introduced = 'announced';
+    // A failed announcement is repeated by `expire` as well.
+    if (event.call === 'members') introduction.readFailed();
   }
 
   return {
     handlers: {
-      member_announced: ctx => {
-        introduced = 'announced';
-        introduce(ctx);
-      },
+      member_announced: introduction.announced,
       members_read: membersRead,
       peer_received: received,
       store_failed: failed,
@@ -187,7 +167,3 @@
     ended: work => news.ended(work),
   };
 }
-
-function addresses(members: {address: string}[]): string[] {
-  return members.map(({address}) => address);
-}
--- a/packages/core/src/fleet/fleet_members.ts
+++ b/packages/core/src/fleet/fleet_members.ts
@@ -1,4 +1,4 @@
-import type {Beat} from './messages/beat.js';
+import type {GatewayState} from './messages/gateway_state.js';
 import type {GatewayMember} from './gateway_member.js';
 import type {MemberRecord} from './member_record.js';
 
@@ -13,7 +13,8 @@
   know(nowMs: number, record: MemberRecord): void;
   /** Notes a sign of life; false if it comes from an earlier start. */
   heard(nowMs: number, address: string, incarnation: number): boolean;
-  beat(address: string, beat: Beat): void;
+  /** Notes what a gateway tells of itself. */
+  told(address: string, state: GatewayState): void;
   get(address: string): GatewayMember | undefined;
   all(): Iterable<GatewayMember>;
   alive(nowMs: number): GatewayMember[];
@@ -56,12 +57,12 @@
     return true;
   }
 
-  function beat(address: string, message: Beat): void {
+  function told(address: string, state: GatewayState): void {
     const member = members.get(address);
     if (!member) return;
-    member.failureDomain = message.failureDomain;
-    member.storeReachable = message.storeReachable;
-    member.draining = message.draining;
+    member.failureDomain = state.failureDomain;
+    member.storeReachable = state.storeReachable;
+    member.draining = state.draining;
   }
 
   function alive(nowMs: number): GatewayMember[] {
@@ -81,7 +82,7 @@
   return {
     know,
     heard,
-    beat,
+    told,
     get: address => members.get(address),
     all: () => members.values(),
     alive,
--- a/packages/core/src/fleet/messages/beat.ts
+++ b/packages/core/src/fleet/messages/beat.ts
@@ -1,17 +1,10 @@
-import type {WorkNotice} from './work_notice.js';
+import type {GatewayState} from './gateway_state.js';
 
 /** Regular message by which gateways know that others live. */
-export interface Beat {
+export interface Beat extends GatewayState {
   kind: 'beat';
-  failureDomain: string;
-  /** Whether the sender's last call of the store was answered. */
-  storeReachable: boolean;
-  /** Whether the sender is shutting down. */
-  draining: boolean;
-  /** The sender does not know the receiver and asks for a beat. */
+  /** The sender does not hear the receiver and asks for a beat. */
   wantsReply: boolean;
-  /** Whether `work` is left out; what is known of it stays. */
-  withoutWork: boolean;
-  /** All work of the sender. */
-  work: WorkNotice[];
+  /** Whether the receiver is asked to pass it on to all others. */
+  passOn: boolean;
 }
--- /dev/null
+++ b/packages/core/src/fleet/messages/member_beat.ts
@@ -0,0 +1,8 @@
+import type {GatewayState} from './gateway_state.js';
+
+/** The beat of a gateway that is not the sender. */
+export interface MemberBeat extends GatewayState {
+  /** Peer address, `IP:PORT`. */
+  member: string;
+  incarnation: number;
+}
--- a/packages/core/src/fleet/messages/peer_message.ts
+++ b/packages/core/src/fleet/messages/peer_message.ts
@@ -3,7 +3,7 @@
 import type {StateCopy} from './state_copy.js';
 import type {StatePull} from './state_pull.js';
 import type {StoreNews} from './store_news.js';
-import type {WorkDigest} from './work_digest.js';
+import type {FleetDigest} from './fleet_digest.js';
 import type {WorkUpdate} from './work_update.js';
 
 /** Every message between gateways. */
@@ -13,5 +13,5 @@
   | StateCopy
   | StatePull
   | StoreNews
-  | WorkDigest
+  | FleetDigest
   | WorkUpdate;
--- /dev/null
+++ b/packages/core/src/fleet/relay_link.ts
@@ -0,0 +1,47 @@
+import {chooseRelay, usesRelays} from './choose_relay.js';
+import type {FleetMembers} from './fleet_members.js';
+import type {MemberRecord} from './member_record.js';
+import {createRelayTrust} from './relay_trust.js';
+
+/** Which gateway passes on what this one tells the fleet. */
+export interface RelayLink {
+  /**
+   * Peer address of the relay, which may be this gateway; undefined if others
+   * are told directly.
+   */
+  relay(nowMs: number): string | undefined;
+  /** Something was sent to the relay. */
+  sent(nowMs: number): void;
+  /** The relay has passed something on. */
+  confirmed(): void;
+  /** Whether the trust in the relay is lost at this moment. */
+  expire(nowMs: number): boolean;
+}
+
+/** What the link looks at. */
+export interface RelayLinkParts {
+  self: MemberRecord;
+  members: FleetMembers;
+  draining(): boolean;
+}
+
+/** Creates the link of a gateway that has sent nothing. */
+export function createRelayLink(parts: RelayLinkParts): RelayLink {
+  const {address, failureDomain} = parts.self;
+  const trust = createRelayTrust();
+
+  function relay(nowMs: number): string | undefined {
+    const alive = parts.members.alive(nowMs);
+    if (!usesRelays(alive)) return undefined;
+    const own = {address, failureDomain, draining: parts.draining()};
+    const chosen = chooseRelay(failureDomain, [...alive, own]);
+    return chosen === address || trust.trusted(nowMs) ? chosen : undefined;
+  }
+
+  return {
+    relay,
+    sent: trust.sent,
+    confirmed: trust.confirmed,
+    expire: trust.expire,
+  };
+}
--- a/packages/core/src/fleet/work_news.test.ts
+++ b/packages/core/src/fleet/work_news.test.ts
@@ -1,49 +1,19 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import type {GatewayAction} from '../gateway/actions/gateway_action.js';
-import type {SendPeers} from '../gateway/actions/send_peers.js';
-import type {GatewayEvent} from '../gateway/events/gateway_event.js';
+import {piece, requestArrived} from '../mocks/gateway_harness.js';
 import {
-  piece,
-  readyGateway,
-  requestArrived,
-  type GatewayHarness,
-} from '../mocks/gateway_harness.js';
-import {endpointEntry} from '../mocks/gateway_parts.js';
-import {beatOf, peerReceived, workNotice} from '../mocks/peer_parts.js';
+  FAR_RELAY,
+  fromPeer,
+  largeFleet,
+  NEAR,
+  PEERS,
+  RELAY,
+  sent,
+} from '../mocks/large_fleet.js';
+import {digestOf, workNotice} from '../mocks/peer_parts.js';
 import type {PeerMessage} from './messages/peer_message.js';
 
-const PEERS = Array.from({length: 13}, (_, i) => `10.0.0.${i + 20}:7000`);
-const NEAR = PEERS.slice(0, 7);
-const RELAY = '10.0.0.26:7000';
-const FAR_RELAY = '10.0.0.32:7000';
-
-function fromPeer(from: string, message: PeerMessage): GatewayEvent {
-  return peerReceived(from, message, 5);
-}
-
-/** A gateway with two engines that has heard 13 others. */
-function largeFleet(address = '10.0.0.1:7000'): GatewayHarness {
-  const entries = [endpointEntry({id: 'e1'}), endpointEntry({id: 'e2'})];
-  const gateway = readyGateway({cfg: {address}, entries});
-  for (const peer of PEERS) {
-    const failureDomain = NEAR.includes(peer) ? 'amman-1' : 'amman-2';
-    gateway.step(fromPeer(peer, beatOf({failureDomain})));
-  }
-  gateway.step({kind: 'tick'}, 10);
-  return gateway;
-}
-
-function sent(
-  actions: GatewayAction[],
-  kind: PeerMessage['kind'],
-): SendPeers[] {
-  return actions.filter(
-    (action): action is SendPeers =>
-      action.kind === 'send_peers' && action.message.kind === kind,
-  );
-}
-
 function expectedMs(actions: GatewayAction[]): number {
   const log = actions.find(
     action => action.kind === 'write_log' && action.event === 'WL8301',
@@ -74,18 +44,17 @@
   gateway.step(requestArrived());
   const own = {member: '10.0.0.1:7000', incarnation: 1};
   const changes = [{...own, started: [], writing: [], ended: []}];
-  const digest = {kind: 'work_digest', passOn: false, changes} as const;
-  gateway.step(fromPeer(RELAY, digest), 60);
+  gateway.step(fromPeer(RELAY, digestOf({changes})), 60);
   const [update] = sent(gateway.step(piece(1), 400), 'work_update');
   assert.deepEqual(update?.to, [RELAY]);
 });
 
 /** Members whose changes a digest to these gateways holds. */
 function passedOn(actions: GatewayAction[], to: string[]): unknown[] {
-  return sent(actions, 'work_digest')
+  return sent(actions, 'fleet_digest')
     .filter(action => action.to.join() === to.join())
     .flatMap(({message}) =>
-      message.kind === 'work_digest'
+      message.kind === 'fleet_digest'
         ? message.changes.map(({member, incarnation}) => [member, incarnation])
         : [],
     );
@@ -114,7 +83,7 @@
   const gateway = largeFleet('10.0.0.99:7000');
   const far = {member: PEERS[10]!, incarnation: 5};
   const changes = [{...far, started: [], writing: [1], ended: []}];
-  const digest = {kind: 'work_digest', passOn: true, changes} as const;
+  const digest = digestOf({passOn: true, changes});
   const actions = [
     ...gateway.step(fromPeer(FAR_RELAY, digest)),
     ...gateway.step({kind: 'tick'}, 60),
@@ -124,21 +93,20 @@
 });
 
 test('work of a digest counts unless it is of an earlier start', () => {
-  const digestOf = (incarnation: number): PeerMessage => ({
-    kind: 'work_digest',
-    passOn: false,
-    changes: ['e1', 'e2'].map((main, i) => ({
-      member: PEERS[i]!,
-      incarnation,
-      started: [workNotice({main})],
-      writing: [],
-      ended: [],
-    })),
-  });
+  const startedBy = (incarnation: number): PeerMessage =>
+    digestOf({
+      changes: ['e1', 'e2'].map((main, i) => ({
+        member: PEERS[i]!,
+        incarnation,
+        started: [workNotice({main})],
+        writing: [],
+        ended: [],
+      })),
+    });
   const old = largeFleet();
-  old.step(fromPeer(RELAY, digestOf(4)));
+  old.step(fromPeer(RELAY, startedBy(4)));
   assert.ok(expectedMs(old.step(requestArrived())) < 200);
   const current = largeFleet();
-  current.step(fromPeer(RELAY, digestOf(5)));
+  current.step(fromPeer(RELAY, startedBy(5)));
   assert.ok(expectedMs(current.step(requestArrived())) > 500);
 });
--- a/packages/core/src/fleet/work_news.ts
+++ b/packages/core/src/fleet/work_news.ts
@@ -1,15 +1,14 @@
 import type {GatewayContext} from '../gateway/gateway_context.js';
-import {chooseRelay, usesRelays} from './choose_relay.js';
 import type {FleetMembers} from './fleet_members.js';
+import type {FleetRelay} from './fleet_relay.js';
 import type {MemberRecord} from './member_record.js';
+import type {FleetDigest} from './messages/fleet_digest.js';
 import type {WorkChanges} from './messages/work_changes.js';
-import type {WorkDigest} from './messages/work_digest.js';
 import type {WorkUpdate} from './messages/work_update.js';
-import {createRelayTrust} from './relay_trust.js';
+import type {RelayLink} from './relay_link.js';
 import type {Work} from './work.js';
 import type {WorkBoard} from './work_board.js';
 import {noticeOf, workOf} from './work_notices.js';
-import {createWorkRelay} from './work_relay.js';
 
 /**
  * Tells other gateways what changes in the work of this one: each of them in
@@ -21,13 +20,8 @@
   ended(work: number): void;
   /** Sends what has changed since the last call. */
   settle(ctx: GatewayContext): void;
-  /**
-   * Sends what others asked this gateway to pass on.
-   * @returns whether own changes were lost, as the relay does not answer
-   */
-  expire(ctx: GatewayContext): boolean;
   updateReceived(ctx: GatewayContext, from: string, update: WorkUpdate): void;
-  digestReceived(ctx: GatewayContext, digest: WorkDigest): void;
+  digestReceived(ctx: GatewayContext, digest: FleetDigest): void;
 }
 
 /** What the news work on. */
@@ -35,7 +29,8 @@
   self: MemberRecord;
   members: FleetMembers;
   board: WorkBoard;
-  draining(): boolean;
+  link: RelayLink;
+  relay: FleetRelay;
 }
 
 interface PendingChanges {
@@ -50,20 +45,9 @@
 
 /** Creates news without changes. */
 export function createWorkNews(parts: WorkNewsParts): WorkNews {
-  const {self, members, board} = parts;
-  const relay = createWorkRelay(self.failureDomain, members);
-  const trust = createRelayTrust();
+  const {self, members, board, link, relay} = parts;
   let pending = noChanges();
 
-  /** Relay of the own failure domain; undefined in a small fleet. */
-  function relayOf(nowMs: number): string | undefined {
-    const alive = members.alive(nowMs);
-    if (!usesRelays(alive)) return undefined;
-    const {address, failureDomain} = self;
-    const own = {address, failureDomain, draining: parts.draining()};
-    return chooseRelay(failureDomain, [...alive, own]);
-  }
-
   function settle(ctx: GatewayContext): void {
     const {started, writing, ended} = pending;
     if (started.length + writing.length + ended.length === 0) return;
@@ -71,13 +55,13 @@
     const {nowMs} = ctx;
     const notices = started.map(work => noticeOf(work, nowMs));
     const changes: WorkChanges = {started: notices, writing, ended};
-    const via = relayOf(nowMs);
+    const via = link.relay(nowMs);
     if (via === self.address) {
       const {address: member, incarnation} = self;
       return relay.addOwn({member, incarnation, ...changes});
     }
-    const passOn = via !== undefined && trust.trusted(nowMs);
-    if (passOn) trust.sent(nowMs);
+    const passOn = via !== undefined;
+    if (passOn) link.sent(nowMs);
     const to = passOn ? [via] : members.addresses(nowMs);
     if (to.length === 0) return;
     const message: WorkUpdate = {kind: 'work_update', passOn, ...changes};
@@ -108,12 +92,7 @@
     relay.addOwn({member: from, incarnation, started, writing, ended});
   }
 
-  function digestReceived(
-    ctx: GatewayContext,
-    {changes, passOn}: WorkDigest,
-  ): void {
-    if (passOn) relay.addForeign(changes);
-    if (changes.some(({member}) => member === self.address)) trust.confirmed();
+  function digestReceived(ctx: GatewayContext, {changes}: FleetDigest): void {
     for (const change of changes) {
       const {member, incarnation} = change;
       if (member === self.address) continue;
@@ -124,10 +103,6 @@
 
   return {
     settle,
-    expire: ctx => {
-      relay.expire(ctx);
-      return trust.expire(ctx.nowMs);
-    },
     updateReceived,
     digestReceived,
     started: work => {
--- a/packages/core/src/mocks/peer_parts.ts
+++ b/packages/core/src/mocks/peer_parts.ts
@@ -1,4 +1,6 @@
 import type {Beat} from '../fleet/messages/beat.js';
+import type {FleetDigest} from '../fleet/messages/fleet_digest.js';
+import type {MemberBeat} from '../fleet/messages/member_beat.js';
 import type {PeerMessage} from '../fleet/messages/peer_message.js';
 import type {WorkNotice} from '../fleet/messages/work_notice.js';
 import type {GatewayEvent} from '../gateway/events/gateway_event.js';
@@ -21,6 +23,35 @@
     draining: false,
     wantsReply: false,
     withoutWork: false,
+    passOn: false,
+    work: [],
+    ...over,
+  };
+}
+
+/** A digest of a near relay in which nothing happened. */
+export function digestOf(over: Partial<FleetDigest> = {}): FleetDigest {
+  return {
+    kind: 'fleet_digest',
+    passOn: false,
+    changes: [],
+    beats: [],
+    ...over,
+  };
+}
+
+/** A beat that a relay passes on. */
+export function memberBeat(
+  member: string,
+  over: Partial<MemberBeat> = {},
+): MemberBeat {
+  return {
+    member,
+    incarnation: 5,
+    failureDomain: 'amman-2',
+    storeReachable: false,
+    draining: false,
+    withoutWork: false,
     work: [],
     ...over,
   };
--- a/packages/gateway/src/peers/datagram_codec.test.ts
+++ b/packages/gateway/src/peers/datagram_codec.test.ts
@@ -51,6 +51,7 @@
     draining: fc.boolean(),
     wantsReply: fc.boolean(),
     withoutWork: fc.boolean(),
+    passOn: fc.boolean(),
     work: fc.array(NOTICE, {maxLength: 5}),
   }),
   fc.record({
@@ -61,7 +62,7 @@
     passOn: fc.boolean(),
   }),
   fc.record({
-    kind: fc.constant('work_digest' as const),
+    kind: fc.constant('fleet_digest' as const),
     passOn: fc.boolean(),
     changes: fc.array(
       fc.record({
@@ -73,6 +74,18 @@
       }),
       {maxLength: 3},
     ),
+    beats: fc.array(
+      fc.record({
+        member: fc.string(),
+        incarnation: OFFSET,
+        failureDomain: fc.string(),
+        storeReachable: fc.boolean(),
+        draining: fc.boolean(),
+        withoutWork: fc.boolean(),
+        work: fc.array(NOTICE, {maxLength: 3}),
+      }),
+      {maxLength: 3},
+    ),
   }),
   fc.record({
     kind: fc.constant('endpoint_doubt' as const),
--- a/packages/gateway/src/peers/datagram_codec.ts
+++ b/packages/gateway/src/peers/datagram_codec.ts
@@ -6,7 +6,7 @@
 } from '@bufbuild/protobuf';
 import type {Beat} from '@wisterialadder/core/fleet/messages/beat.js';
 import type {StoreNews} from '@wisterialadder/core/fleet/messages/store_news.js';
-import type {WorkDigest} from '@wisterialadder/core/fleet/messages/work_digest.js';
+import type {FleetDigest} from '@wisterialadder/core/fleet/messages/fleet_digest.js';
 import type {WorkUpdate} from '@wisterialadder/core/fleet/messages/work_update.js';
 import type {EntryChange} from '@wisterialadder/core/registry/entry_change.js';
 import {
@@ -39,8 +39,8 @@
       return {case: 'beat', value: beatOut(message)};
     case 'work_update':
       return {case: 'workUpdate', value: updateOut(message)};
-    case 'work_digest':
-      return {case: 'workDigest', value: digestOut(message)};
+    case 'fleet_digest':
+      return {case: 'fleetDigest', value: digestOut(message)};
     case 'store_news':
       return {case: 'storeNews', value: newsOut(message)};
     case 'endpoint_doubt': {
@@ -58,9 +58,14 @@
   return {started: started.map(noticeOut), writing, ended, passOn};
 }
 
-function digestOut({changes, passOn}: WorkDigest) {
+function digestOut({changes, beats, passOn}: FleetDigest) {
   return {
     passOn,
+    beats: beats.map(beat => ({
+      ...beat,
+      incarnation: BigInt(beat.incarnation),
+      work: beat.work.map(noticeOut),
+    })),
     changes: changes.map(({member, incarnation, started, writing, ended}) => ({
       member,
       incarnation: BigInt(incarnation),
@@ -138,14 +143,18 @@
       return {kind: 'beat', ...message.value};
     case 'workUpdate':
       return {kind: 'work_update', ...message.value};
-    case 'workDigest':
+    case 'fleetDigest':
       return {
-        kind: 'work_digest',
+        kind: 'fleet_digest',
         passOn: message.value.passOn,
         changes: message.value.changes.map(change => ({
           ...change,
           incarnation: Number(change.incarnation),
         })),
+        beats: message.value.beats.map(beat => ({
+          ...beat,
+          incarnation: Number(beat.incarnation),
+        })),
       };
     case 'storeNews':
       return {
--- a/packages/gateway/src/peers/datagram_message.ts
+++ b/packages/gateway/src/peers/datagram_message.ts
@@ -1,9 +1,9 @@
 import type {Beat} from '@wisterialadder/core/fleet/messages/beat.js';
 import type {EndpointDoubt} from '@wisterialadder/core/fleet/messages/endpoint_doubt.js';
 import type {StoreNews} from '@wisterialadder/core/fleet/messages/store_news.js';
-import type {WorkDigest} from '@wisterialadder/core/fleet/messages/work_digest.js';
+import type {FleetDigest} from '@wisterialadder/core/fleet/messages/fleet_digest.js';
 import type {WorkUpdate} from '@wisterialadder/core/fleet/messages/work_update.js';
 
 /** Messages that are small, frequent and may be lost. */
 export type DatagramMessage =
-  Beat | EndpointDoubt | StoreNews | WorkDigest | WorkUpdate;
+  Beat | EndpointDoubt | StoreNews | FleetDigest | WorkUpdate;
--- a/scripts/measure_gossip.mjs
+++ b/scripts/measure_gossip.mjs
@@ -46,31 +46,34 @@
   peers[i].send(bytes, Number(port), '127.0.0.2');
 }
 
-const beat = {
-  kind: 'beat',
+const state = {
   failureDomain: 'zone-b',
   storeReachable: true,
   draining: false,
-  wantsReply: false,
   withoutWork: true,
   work: [],
 };
-const timers = peers.map((_, i) => setInterval(() => send(i, beat), 1_000));
+const beat = {kind: 'beat', ...state, wantsReply: false, passOn: false};
+const direct = gateways <= MOST_DIRECT;
+let gathered = {changes: [], beats: []};
+const memberOf = i => ({member: `127.0.1.${i + 1}:${port}`, incarnation: 1});
+function sendBeat(i) {
+  if (direct) return send(i, beat);
+  gathered.beats.push({...memberOf(i), ...state});
+}
+peers.forEach((_, i) => send(i, beat));
+const timers = peers.map((_, i) => setInterval(() => sendBeat(i), 1_000));
 let works = 0;
-let gathered = [];
 function tell(i, changes) {
   const all = {started: [], writing: [], ended: [], ...changes};
-  if (gateways <= MOST_DIRECT) {
-    return send(i, {kind: 'work_update', passOn: false, ...all});
-  }
-  const member = `127.0.1.${i + 1}:${port}`;
-  gathered.push({member, incarnation: 1, ...all});
+  if (direct) return send(i, {kind: 'work_update', passOn: false, ...all});
+  gathered.changes.push({...memberOf(i), ...all});
 }
 const relay = setInterval(() => {
-  if (gathered.length > 0) {
-    send(0, {kind: 'work_digest', passOn: false, changes: gathered});
+  if (gathered.changes.length + gathered.beats.length > 0) {
+    send(0, {kind: 'fleet_digest', passOn: false, ...gathered});
   }
-  gathered = [];
+  gathered = {changes: [], beats: []};
 }, DIGEST_INTERVAL_MS);
 const load = setInterval(() => {
   works += 1;
