Hear a gateway that restarts with its clock set back

Cause: incarnations are taken from the time of day. A gateway that restarted after its clock had jumped back had a smaller one, and its peers dropped its messages until they forgot it after 60 s: its work was unknown to them. Change: after 2.6 s of silence a direct message with a smaller incarnation counts as a new start; one that a relay passes on does not, as relays may hold messages back. Not measured.

--- a/packages/core/src/fleet/fleet_gossip.ts
+++ b/packages/core/src/fleet/fleet_gossip.ts
@@ -9,6 +9,7 @@
 import {createIntroduction} from './introduction.js';
 import {logSilent} from './log_silent.js';
 import type {MemberRecord} from './member_record.js';
+import type {MessageWay} from './message_way.js';
 import type {FleetDigest} from './messages/fleet_digest.js';
 import type {GatewayState} from './messages/gateway_state.js';
 import {createRelayLink} from './relay_link.js';
@@ -88,11 +89,12 @@
     ctx: GatewayContext,
     member: string,
     incarnation: number,
+    way: MessageWay,
   ): boolean {
-    const before = members.get(member);
-    if (before && incarnation > before.incarnation) board.replace(member, []);
-    const firstSign = before?.heardMs === undefined;
-    if (!members.heard(ctx.nowMs, member, incarnation)) return false;
+    const before = members.get(member)?.incarnation ?? incarnation;
+    const firstSign = members.get(member)?.heardMs === undefined;
+    if (!members.heard(ctx.nowMs, member, incarnation, way)) return false;
+    if (incarnation !== before) board.replace(member, []);
     if (firstSign) {
       const fields = {member, incarnation};
       ctx.emit({kind: 'write_log', event: 'WL8101', fields});
@@ -102,7 +104,8 @@
 
   function received(ctx: GatewayContext, event: PeerReceived): void {
     const {from, incarnation, message} = event;
-    if (from === self.address || !heard(ctx, from, incarnation)) return;
+    if (from === self.address || !heard(ctx, from, incarnation, 'direct'))
+      return;
     switch (message.kind) {
       case 'beat': {
         const {kind: _kind, wantsReply, passOn, ...state} = message;
@@ -125,7 +128,11 @@
     const told = [...digest.changes, ...digest.beats];
     if (told.some(({member}) => member === self.address)) link.confirmed();
     for (const {member, incarnation, ...state} of digest.beats) {
-      if (member === self.address || !heard(ctx, member, incarnation)) continue;
+      if (
+        member === self.address ||
+        !heard(ctx, member, incarnation, 'relayed')
+      )
+        continue;
       stateReceived(ctx, member, state);
     }
     news.digestReceived(ctx, digest);
--- a/packages/core/src/fleet/fleet_members.ts
+++ b/packages/core/src/fleet/fleet_members.ts
@@ -1,3 +1,4 @@
+import type {MessageWay} from './message_way.js';
 import type {GatewayState} from './messages/gateway_state.js';
 import type {GatewayMember} from './gateway_member.js';
 import type {MemberRecord} from './member_record.js';
@@ -12,7 +13,12 @@
   /** Notes an address that may be a gateway's. */
   know(nowMs: number, record: MemberRecord): void;
   /** Notes a sign of life; false if it comes from an earlier start. */
-  heard(nowMs: number, address: string, incarnation: number): boolean;
+  heard(
+    nowMs: number,
+    address: string,
+    incarnation: number,
+    way: MessageWay,
+  ): boolean;
   /** Notes what a gateway tells of itself. */
   told(address: string, state: GatewayState): void;
   get(address: string): GatewayMember | undefined;
@@ -48,10 +54,20 @@
     });
   }
 
-  function heard(nowMs: number, address: string, incarnation: number): boolean {
+  function heard(
+    nowMs: number,
+    address: string,
+    incarnation: number,
+    way: MessageWay,
+  ): boolean {
     know(nowMs, {address, failureDomain: '', incarnation: 0});
     const member = members.get(address);
-    if (!member || incarnation < member.incarnation) return false;
+    if (!member) return false;
+    // A member whose clock was set back starts with a smaller incarnation. A
+    // relay may have held its message back, so only its own word counts.
+    const silent = nowMs - (member.heardMs ?? nowMs) >= DEAD_AFTER_MS;
+    const restarted = silent && way === 'direct';
+    if (incarnation < member.incarnation && !restarted) return false;
     member.incarnation = incarnation;
     member.heardMs = nowMs;
     return true;
