Let short prompts in a crowd look at a part of the engines

Cause: an engine that has just got its first short stream is the best place for the next ones, and all gateways of a large fleet took it at the same time: 13 requests within 150 ms on an engine with 8 slots. Change: in a crowd, the choice for a short prompt looks at half of the near engines and an eighth of the far ones, in random order; engines count as equal within 0.015 instead of 0.03, which costs fewer bytes between domains.

--- a/packages/core/src/spread/endpoint_selection.ts
+++ b/packages/core/src/spread/endpoint_selection.ts
@@ -1,7 +1,7 @@
 import type {PublishedConfiguration} from '../configuration/published_configuration.js';
 import type {ServiceSpec} from '../configuration/service_spec.js';
 import type {EndpointHealth} from '../endpoint_health/endpoint_health.js';
-import {estimateLoad} from '../engine_model/estimate_load.js';
+import {estimateLoad, STRICT_GAP_MS} from '../engine_model/estimate_load.js';
 import {partReadMs} from '../engine_model/read_cost.js';
 import type {Work} from '../fleet/work.js';
 import type {WorkBoard} from '../fleet/work_board.js';
@@ -14,6 +14,7 @@
 import type {EndpointChooser} from './endpoint_chooser.js';
 import {LeastLoss} from './least_loss.js';
 import {LeastWork} from './least_work.js';
+import {sampleEntries} from './sample_entries.js';
 import type {PoolReport} from './pool_report.js';
 
 /** Finds the endpoint of a request among those that may take work. */
@@ -154,11 +155,18 @@
       const pool = [steady, sound, usable]
         .map(entries => entries.filter(({id}) => !avoid.has(id)))
         .find(entries => entries.length > 0);
-      const candidates = (pool ?? usable).map(entry =>
-        candidate(nowMs, entry, spec),
-      );
-      const conditions = {random, crowded: parts.crowded(nowMs)};
-      return chooser(spec).choose(req, candidates, conditions);
+      const entries = pool ?? usable;
+      const crowded = parts.crowded(nowMs);
+      const chooseAmong = (some: EndpointEntry[]) => {
+        const candidates = some.map(entry => candidate(nowMs, entry, spec));
+        return chooser(spec).choose(req, candidates, {random, crowded});
+      };
+      // Long prompts are few, and good places for them are as well.
+      const sampled = crowded && spec?.engine && req.gapMs <= STRICT_GAP_MS;
+      const choice =
+        sampled &&
+        chooseAmong(sampleEntries(entries, parts.failureDomain, random));
+      return choice || chooseAmong(entries);
     },
   };
 }
--- a/packages/core/src/spread/least_loss.ts
+++ b/packages/core/src/spread/least_loss.ts
@@ -39,7 +39,7 @@
  * Worth within which engines count as equal where many gateways choose at the
  * same time: otherwise all of them choose the same engine.
  */
-const CROWDED_SPREAD = 0.03;
+const CROWDED_SPREAD = 0.015;
 /** The rest of the pass that is on, and the pass that writes the piece. */
 const PASSES_TO_FIRST_PIECE = 1.4;
 /** Time on the network to an engine and back. */
