--- a/scripts/soak/run_seed.mjs
+++ b/scripts/soak/run_seed.mjs
@@ -14,7 +14,7 @@
   watchDrained,
 } from './promises.mjs';
 
-const GATEWAYS = 3;
+const FEW_GATEWAYS = 3;
 const WATCH_INTERVAL_MS = 100;
 /** After the last fault everything is as before within this time. */
 const RECOVERY_MS = 4_000;
@@ -27,12 +27,13 @@
 /**
  * Runs one seed; answers what was broken, an empty list if nothing.
  * @param durationMs time in which faults begin
+ * @param gateways fleets of more than 12 tell each other through relays
  */
-export async function runSeed(seed, durationMs) {
+export async function runSeed(seed, durationMs, gateways = FEW_GATEWAYS) {
   const random = createSeededRandom(seed);
   const links = [];
   const fleet = await startGatewayFleet({
-    gateways: GATEWAYS,
+    gateways,
     engines: 6,
     services: 2,
     front: async address => {
--- a/scripts/soak/soak.mjs
+++ b/scripts/soak/soak.mjs
@@ -1,6 +1,6 @@
 // Random faults against real gateways on loopback. Prints what was broken.
-// soak.mjs --seeds FIRST..LAST [--seconds N]    given seeds
-// soak.mjs --minutes N [--seconds N]            fresh seeds
+// soak.mjs --seeds FIRST..LAST [options]    given seeds
+// soak.mjs --minutes N [options]            fresh seeds
 import {cac} from 'cac';
 import {runSeed} from './run_seed.mjs';
 
@@ -10,6 +10,7 @@
 cli.option('--seeds <range>', 'Seeds FIRST..LAST or one seed');
 cli.option('--minutes <n>', 'Play fresh seeds for so long');
 cli.option('--seconds <n>', 'Time in which faults begin, for each seed');
+cli.option('--gateways <n>', 'Gateways of the fleet');
 const {options} = cli.parse();
 
 function* seeds() {
@@ -25,7 +26,11 @@
 let failed = 0;
 for (const seed of seeds()) {
   const durationMs = Number(options.seconds ?? DEFAULT_SECONDS) * 1_000;
-  const {findings, faults, requests} = await runSeed(seed, durationMs);
+  const {findings, faults, requests} = await runSeed(
+    seed,
+    durationMs,
+    options.gateways && Number(options.gateways),
+  );
   console.log(
     `seed ${seed}: ${faults} faults, ${requests} requests, ` +
       `${findings.length === 0 ? 'held' : 'BROKEN'}`,
