Soak clocks that jump, and check that gateways hear each other

Two kinds of faults restart a gateway with its time of day 60 s behind or ahead; a module imported into the process shifts it. After the faults every gateway must hear all others. Older seeds draw from the kinds that they knew.

--- a/scripts/fleet/gateway_fleet.mjs
+++ b/scripts/fleet/gateway_fleet.mjs
@@ -36,12 +36,14 @@
   const seeds = ips.map(ip => `${ip}:1`);
   let sent = 0;
 
-  async function start(index) {
+  /** @param options.clockShiftMs jump of the VM's time of day */
+  async function start(index, {clockShiftMs = 0} = {}) {
     const ip = ips[index];
     const gateway = await startProcess({
       name: `gateway-${index + 1}-${processes.length}`,
       bin,
       dir,
+      clockShiftMs,
       settings: {
         vm: {failure_domain: ZONES[index % ZONES.length]},
         caller: {listen: `${ip}:0`, probe: `${ip}:0`},
--- a/scripts/fleet/process.mjs
+++ b/scripts/fleet/process.mjs
@@ -7,6 +7,7 @@
 const STARTED_EVENT = 'WL9001';
 const MAX_LINES_KEPT = 20_000;
 const LAST_LINES = 3;
+const SHIFTED_CLOCK = new URL('shifted_clock.mjs', import.meta.url).href;
 
 /** Writes an object of sections as INI text. */
 export function toIni(sections) {
@@ -22,13 +23,21 @@
  * Starts a program with settings and resolves once it logs that it has
  * started. `started` holds the fields of that line, addresses among them.
  */
-export async function startProcess({name, bin, settings, dir}) {
+export async function startProcess({
+  name,
+  bin,
+  settings,
+  dir,
+  clockShiftMs = 0,
+}) {
   mkdirSync(dir, {recursive: true});
   const file = join(dir, `${name}.ini`);
   writeFileSync(file, toIni(settings));
   const log = createWriteStream(join(dir, `${name}.log`));
-  const child = spawn(process.execPath, [bin, '--config', file], {
+  const clock = clockShiftMs === 0 ? [] : ['--import', SHIFTED_CLOCK];
+  const child = spawn(process.execPath, [...clock, bin, '--config', file], {
     stdio: ['ignore', 'pipe', 'pipe'],
+    env: {...process.env, WL_CLOCK_SHIFT_MS: `${clockShiftMs}`},
   });
   const exited = new Promise(resolve => {
     child.once('exit', (code, signal) => resolve({code, signal}));
--- a/scripts/process_tests/soak.test.mjs
+++ b/scripts/process_tests/soak.test.mjs
@@ -4,7 +4,6 @@
 import {runSeed} from '../soak/run_seed.mjs';
 
 const SHORT_RUN_MS = 6_000;
-const LARGE_FLEET = 14;
 
 test('a short soak with a fixed seed keeps every promise', async () => {
   const {findings} = await runSeed(1, SHORT_RUN_MS);
@@ -12,13 +11,13 @@
 });
 
 test('a short soak of a fleet with relays keeps every promise', async () => {
-  const {findings} = await runSeed(2, SHORT_RUN_MS, LARGE_FLEET);
+  const {findings} = await runSeed(2, SHORT_RUN_MS, {gateways: 14});
   assert.deepEqual(findings, []);
 });
 
-for (const {seed, durationMs, cause} of REGRESSIONS) {
+for (const {seed, durationMs, kinds, cause} of REGRESSIONS) {
   test(`soak seed ${seed} holds: ${cause}`, async () => {
-    const {findings} = await runSeed(seed, durationMs);
+    const {findings} = await runSeed(seed, durationMs, {kinds});
     assert.deepEqual(findings, []);
   });
 }
--- a/scripts/soak/faults.mjs
+++ b/scripts/soak/faults.mjs
@@ -1,6 +1,8 @@
 // Faults that the soak injects from outside the gateways. Each takes the
 // environment of a run and returns what ends it.
 
+/** Jump of a VM's time of day, longer than a run. */
+const CLOCK_JUMP_MS = 60_000;
 /** Requests are not cut sooner after SIGTERM; the grace period is 8 s. */
 const LEAST_GRACE_MS = 7_000;
 
@@ -63,8 +65,19 @@
   };
 }
 
-async function restart(env, slot) {
-  slot.gateway = await env.fleet.start(slot.index);
+async function restart(env, slot, clockShiftMs = 0) {
+  slot.gateway = await env.fleet.start(slot.index, {clockShiftMs});
+}
+
+/** A gateway that starts anew after its time of day has jumped. */
+function clockFault(clockShiftMs) {
+  return gatewayFault(
+    async (_env, slot) => {
+      slot.gateway.kill('SIGKILL');
+      await slot.gateway.exited;
+    },
+    (env, slot) => restart(env, slot, clockShiftMs),
+  );
 }
 
 export const FAULTS = {
@@ -131,10 +144,7 @@
       link.reset();
     },
   ),
-  gateway_kill: gatewayFault(async (_env, slot) => {
-    slot.gateway.kill('SIGKILL');
-    await slot.gateway.exited;
-  }, restart),
+  gateway_kill: clockFault(0),
   gateway_stop: gatewayFault(
     (_env, slot) => {
       slot.stoppedMs = Date.now();
@@ -163,4 +173,7 @@
     platform.publish();
     return () => undefined;
   },
+  // New kinds follow, so that older seeds keep their plans.
+  clock_back: clockFault(-CLOCK_JUMP_MS),
+  clock_ahead: clockFault(CLOCK_JUMP_MS),
 };
--- a/scripts/soak/plan.mjs
+++ b/scripts/soak/plan.mjs
@@ -5,9 +5,12 @@
 const MIN_LENGTH_MS = 150;
 const MAX_LENGTH_MS = 2_500;
 
-/** Draws faults and when they begin and end after the start of a run. */
-export function drawPlan(random, durationMs) {
-  const names = Object.keys(FAULTS);
+/**
+ * Draws faults and when they begin and end after the start of a run.
+ * @param kinds kinds of faults to draw from, the oldest ones
+ */
+export function drawPlan(random, durationMs, kinds = Infinity) {
+  const names = Object.keys(FAULTS).slice(0, kinds);
   const plan = [];
   for (let atMs = 500; ;) {
     atMs += -Math.log(1 - random()) * MEAN_GAP_MS;
--- a/scripts/soak/run_seed.mjs
+++ b/scripts/soak/run_seed.mjs
@@ -27,9 +27,14 @@
 /**
  * Runs one seed; answers what was broken, an empty list if nothing.
  * @param durationMs time in which faults begin
- * @param gateways fleets of more than 12 tell each other through relays
+ * @param options.gateways fleets of more than 12 tell each other through relays
+ * @param options.kinds kinds of faults there were when a seed was first played
  */
-export async function runSeed(seed, durationMs, gateways = FEW_GATEWAYS) {
+export async function runSeed(
+  seed,
+  durationMs,
+  {gateways = FEW_GATEWAYS, kinds} = {},
+) {
   const random = createSeededRandom(seed);
   const links = [];
   const fleet = await startGatewayFleet({
@@ -63,7 +68,7 @@
   const watching = setInterval(() => watchDrained(env), WATCH_INTERVAL_MS);
   try {
     const answers = [];
-    const plan = drawPlan(random, durationMs);
+    const plan = drawPlan(random, durationMs, kinds);
     const faults = plan.map(async ({name, atMs, lengthMs}) => {
       await sleep(atMs);
       if (BLINDING.test(name)) blind += 1;
@@ -79,6 +84,7 @@
     );
     await Promise.all([...faults, ...load]);
     await sleep(RECOVERY_MS);
+    await checkMembers(env);
     await checkRecovered(env);
     await sleep(MEMORY_MS);
     checkRuns(env, answers);
@@ -127,6 +133,16 @@
   checkAnswer(env, id, kind, answer, mayBreak || slot.faulty);
 }
 
+/** Every gateway hears all others. */
+async function checkMembers(env) {
+  for (const {gateway} of env.slots) {
+    const {members} = await env.fleet.status(gateway);
+    const heard = members.filter(({alive}) => alive).length;
+    if (heard === env.slots.length - 1) continue;
+    env.broken(`${gateway.name} hears ${heard} other gateways`);
+  }
+}
+
 /** Requests are served again by every gateway. */
 async function checkRecovered(env) {
   const [lookup] = LOAD_KINDS;
--- a/scripts/soak/soak.mjs
+++ b/scripts/soak/soak.mjs
@@ -11,6 +11,7 @@
 cli.option('--minutes <n>', 'Play fresh seeds for so long');
 cli.option('--seconds <n>', 'Time in which faults begin, for each seed');
 cli.option('--gateways <n>', 'Gateways of the fleet');
+cli.option('--kinds <n>', 'Draw from the oldest N kinds of faults');
 const {options} = cli.parse();
 
 function* seeds() {
@@ -26,11 +27,10 @@
 let failed = 0;
 for (const seed of seeds()) {
   const durationMs = Number(options.seconds ?? DEFAULT_SECONDS) * 1_000;
-  const {findings, faults, requests} = await runSeed(
-    seed,
-    durationMs,
-    options.gateways && Number(options.gateways),
-  );
+  const {findings, faults, requests} = await runSeed(seed, durationMs, {
+    gateways: options.gateways && Number(options.gateways),
+    kinds: options.kinds && Number(options.kinds),
+  });
   console.log(
     `seed ${seed}: ${faults} faults, ${requests} requests, ` +
       `${findings.length === 0 ? 'held' : 'BROKEN'}`,
