Ask an engine that cannot be reached for memory after a pause

It is sent again after the interval of lost orders now.

Ruled out: the engine's own refusals, which were not repeated before either.

--- a/packages/core/src/tickets/tickets.test.ts
+++ b/packages/core/src/tickets/tickets.test.ts
@@ -110,6 +110,17 @@
   }
 });
 
+// A dead engine was asked hundreds of times in a second, as its refusals of
+// connections came at once.
+test('an engine that cannot be reached is asked again after a pause', () => {
+  const gateway = fleetOf(4);
+  const [first] = startedLarge(gateway);
+  assert.ok(first);
+  assert.deepEqual(orders(settle(gateway, first, 'unknown'), 'reserve'), []);
+  const later = orders(gateway.step({kind: 'tick'}, 600), 'reserve');
+  assert.ok(later.some(({endpoint}) => endpoint === first.endpoint));
+});
+
 for (const [how, end] of [
   ['ends', {kind: 'stream_ended', reqId: 'r1', attempt: 1}],
   ['fails', attemptFailed('broken')],
--- a/packages/core/src/tickets/tickets.ts
+++ b/packages/core/src/tickets/tickets.ts
@@ -99,8 +99,9 @@
     }
     report(ctx, set, holding, event.answer);
     if (set.used) {
-      // The request is cut off by the engine if the memory is lost.
-      if (event.answer === 'unknown') order(ctx, set, holding, 'reserve');
+      // The request is cut off by the engine if the memory is lost. An engine
+      // that refuses connections answers at once, so it is asked later.
+      if (event.answer === 'unknown') holding.state = 'wanted';
       return;
     }
     release(ctx, set.reqId);
