Refuse what cannot be sent in its target or answered by its deadline

Prompts of 160,000 to 700,000 tokens took a turn 2 to 11 s ahead though their target is 3 s, or were sent with 16 to 25 s expected before a deadline of 15 s; their callers left while they waited. Such a request is refused soon with a time to come back now, and a planned one is sent within its target though its engines are still busy. WL8306 says what was expected.

Ruled out: the caller's patience of four targets as the limit; it would refuse prompts that callers with a longer deadline get late.

--- a/packages/core/src/forwarding/dispatcher.ts
+++ b/packages/core/src/forwarding/dispatcher.ts
@@ -10,6 +10,7 @@
 import type {RequestEnd} from './request_end.js';
 import {roomWaitEndMs} from './room_wait.js';
 import {logNoRoute, logRoute} from './route_log.js';
+import {servesInTime, targetEndMs} from './serves_in_time.js';
 
 /** A shorter wait for engines is not worth it. */
 const LEAST_WAIT_MS = 15;
@@ -51,18 +52,27 @@
     const wanted = choiceRequestOf(req, nowMs);
     const {service, failedAt} = req;
     const choice = selection.select(nowMs, service, wanted, failedAt, random);
-    if (!choice) return awaitRoom(ctx, req);
+    if (!choice || !servesInTime(nowMs, req, choice)) {
+      return awaitRoom(ctx, req, choice);
+    }
     req.roomCheckMs = undefined;
     if (choice.startInMs >= LEAST_WAIT_MS) return plan(ctx, req, choice);
     begin(ctx, req, choice);
   }
 
-  /** Keeps a request for a while for which no endpoint has room. */
-  function awaitRoom(ctx: GatewayContext, req: ForwardedRequest): void {
+  /**
+   * Keeps a request for a while for which no endpoint has room.
+   * @param slow the best choice, where that cannot serve it in time
+   */
+  function awaitRoom(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    slow: EndpointChoice | undefined,
+  ): void {
     const {nowMs} = ctx;
     if (req.roomCheckMs === undefined) {
       const pool = selection.pool(nowMs, req.service);
-      logNoRoute(ctx, req, pool, configuration.version());
+      logNoRoute(ctx, req, pool, slow, configuration.version());
     }
     if (nowMs >= roomWaitEndMs(req)) end.giveUp(ctx, req, 'overloaded');
     else req.roomCheckMs = nowMs + ROOM_CHECK_INTERVAL_MS;
@@ -101,7 +111,10 @@
     const {nowMs} = ctx;
     const own = planned.work;
     const busyMs = selection.busyMs(nowMs, req.service, choice, own);
-    if (busyMs >= LEAST_WAIT_MS && planned.delays < MAX_DELAYS) {
+    // A request that is kept beyond its target loses its worth in any case.
+    const mayWait = nowMs + LONGEST_DELAY_MS < targetEndMs(req);
+    const late = busyMs >= LEAST_WAIT_MS && planned.delays < MAX_DELAYS;
+    if (late && mayWait) {
       planned.delays += 1;
       planned.startMs = ctx.nowMs + Math.min(busyMs, LONGEST_DELAY_MS);
       return;
--- a/packages/core/src/forwarding/room_wait.test.ts
+++ b/packages/core/src/forwarding/room_wait.test.ts
@@ -33,14 +33,46 @@
   assert.equal(started(waiting)?.endpoint, 'e1');
 });
 
-test('a request that finds no room is refused soon, as not run', () => {
-  const gateway = readyGateway({entries: []});
-  gateway.step(requestArrived());
+/** Refusal within a time, by ticks. */
+function refusedWithin(gateway: GatewayHarness, ms: number) {
   let refused: string | undefined;
-  for (let waitedMs = 0; waitedMs < 200 && !refused; waitedMs += 25) {
+  for (let waitedMs = 0; waitedMs < ms && !refused; waitedMs += 25) {
     refused = refusal(gateway.step({kind: 'tick'}, 25));
   }
-  assert.equal(refused, 'overloaded');
+  return refused;
+}
+
+test('a request that finds no room is refused soon, as not run', () => {
+  const gateway = readyGateway({entries: []});
+  gateway.step(requestArrived());
+  assert.equal(refusedWithin(gateway, 200), 'overloaded');
+});
+
+test('a prompt that cannot be answered in time is refused, not sent', () => {
+  const gateway = readyGateway({entries: ONE_ENGINE});
+  const long = requestArrived({promptTokens: 250_000, remainingMs: 5_000});
+  assert.equal(started(gateway.step(long)), undefined);
+  assert.equal(refusal(gateway.step({kind: 'tick'}, 50)), 'overloaded');
+});
+
+// A prompt whose turn came 11 s after its arrival was kept until then, when
+// its caller was about to leave.
+test('a prompt whose turn comes after its target is refused soon', () => {
+  const entries = ['e1', 'e2', 'e3', 'e4'].map(id => endpointEntry({id}));
+  const gateway = readyGateway({entries});
+  const long = {promptTokens: 300_000, remainingMs: 15_000};
+  assert.ok(started(gateway.step(requestArrived(long))));
+  gateway.step(requestArrived({...long, reqId: 'r2'}));
+  assert.equal(refusal(gateway.step({kind: 'tick'}, 50)), 'overloaded');
+});
+
+test('a prompt that is too late for one engine is sent to several', () => {
+  const entries = ['e1', 'e2', 'e3', 'e4', 'e5', 'e6'].map(id =>
+    endpointEntry({id}),
+  );
+  const gateway = readyGateway({entries});
+  const long = requestArrived({promptTokens: 250_000, remainingMs: 5_000});
+  assert.ok(started(gateway.step(long)));
 });
 
 test('a stream that has begun waits for an engine instead of breaking', () => {
--- a/packages/core/src/forwarding/route_log.ts
+++ b/packages/core/src/forwarding/route_log.ts
@@ -34,11 +34,15 @@
   });
 }
 
-/** Logs why no endpoint can take a request now. */
+/**
+ * Logs why no endpoint can take a request now.
+ * @param slow the best choice, where that cannot serve it in time
+ */
 export function logNoRoute(
   ctx: GatewayContext,
   req: ForwardedRequest,
   pool: PoolReport,
+  slow: EndpointChoice | undefined,
   version: number,
 ): void {
   const {promptTokens, dueInMs} = choiceRequestOf(req, ctx.nowMs);
@@ -55,6 +59,7 @@
       sound: pool.sound,
       freeTokens: pool.freeTokens,
       roomiestTokens: pool.roomiestTokens,
+      ...(slow && {startInMs: slow.startInMs, expectedMs: slow.expectedMs}),
       version,
     },
   });
--- a/packages/core/src/shared/log_events.ts
+++ b/packages/core/src/shared/log_events.ts
@@ -208,7 +208,7 @@
   },
   WL8306: {
     level: 'warn',
-    text: 'no endpoint has room for a request',
+    text: 'no endpoint has room for a request, or none in time',
     action:
       'If sound is below registered, see WL8201; otherwise start endpoints.',
   },
