Wait for room an eighth of what is left of a request's time

It waits an eighth of what is left now, and the last look comes at the end of the wait instead of up to 50 ms later.

Ruled out: the first try of that request, which was sent within its target.

--- a/packages/core/src/forwarding/dispatcher.ts
+++ b/packages/core/src/forwarding/dispatcher.ts
@@ -74,8 +74,9 @@
       const pool = selection.pool(nowMs, req.service);
       logNoRoute(ctx, req, pool, slow, configuration.version());
     }
-    if (nowMs >= roomWaitEndMs(req)) end.giveUp(ctx, req, 'overloaded');
-    else req.roomCheckMs = nowMs + ROOM_CHECK_INTERVAL_MS;
+    const waitEndMs = roomWaitEndMs(req);
+    if (nowMs >= waitEndMs) return end.giveUp(ctx, req, 'overloaded');
+    req.roomCheckMs = Math.min(nowMs + ROOM_CHECK_INTERVAL_MS, waitEndMs);
   }
 
   /** Takes a turn on engines that read other prompts first. */
--- a/packages/core/src/forwarding/room_wait.test.ts
+++ b/packages/core/src/forwarding/room_wait.test.ts
@@ -10,7 +10,11 @@
   started,
   type GatewayHarness,
 } from '../mocks/gateway_harness.js';
-import {endpointEntry} from '../mocks/gateway_parts.js';
+import {
+  configuration,
+  endpointEntry,
+  streamRoute,
+} from '../mocks/gateway_parts.js';
 
 const ONE_ENGINE = [endpointEntry({id: 'e1'})];
 
@@ -48,6 +52,15 @@
   assert.equal(refusedWithin(gateway, 200), 'overloaded');
 });
 
+// A repeat with 0.65 s left was kept for 0.45 s, an eighth of its target.
+test('a request with little time left waits for a part of that only', () => {
+  const routes = [streamRoute({targetMs: 3_000})];
+  const known = {entries: [], configuration: configuration({routes})};
+  const gateway = readyGateway(known);
+  gateway.step(requestArrived({remainingMs: 650}));
+  assert.equal(refusedWithin(gateway, 100), 'overloaded');
+});
+
 test('a prompt that cannot be answered in time is refused, not sent', () => {
   const gateway = readyGateway({entries: ONE_ENGINE});
   const long = requestArrived({promptTokens: 250_000, remainingMs: 5_000});
--- a/packages/core/src/forwarding/room_wait.ts
+++ b/packages/core/src/forwarding/room_wait.ts
@@ -1,8 +1,9 @@
 import type {ForwardedRequest} from './forwarded_request.js';
 
 /**
- * Part of the target within which a request may wait for room on engines. The
- * caller's own repeat is likelier to be in time after a longer wait.
+ * Part of the target, or of the time that is left if that is less, within
+ * which a request may wait for room on engines. The caller's own repeat is
+ * likelier to be in time after a longer wait.
  */
 const ROOM_WAIT_SHARE = 1 / 8;
 
@@ -10,5 +11,6 @@
 export function roomWaitEndMs(req: ForwardedRequest): number {
   // Nothing else can finish a stream that has begun.
   if (req.begun) return req.deadlineMs;
-  return req.arrivedMs + req.route.targetMs * ROOM_WAIT_SHARE;
+  const timeMs = Math.min(req.route.targetMs, req.deadlineMs - req.arrivedMs);
+  return req.arrivedMs + timeMs * ROOM_WAIT_SHARE;
 }
