Let gateways of a crowd that have just started take free engines

Some had not heard twelve others yet and chose among all 42 engines, all the same one; the rest joined the first streams they heard of, since a free engine is kept for long prompts, up to eleven on one engine in 0.15 s.

--- a/packages/core/src/fleet/choose_relay.ts
+++ b/packages/core/src/fleet/choose_relay.ts
@@ -14,6 +14,15 @@
   return alive.length >= MOST_DIRECT;
 }
 
+/**
+ * Whether the gateways of a fleet learn late of each other's choices.
+ * @param known gateways that may be alive, this one included: after a restart
+ * of all, most have not been heard yet
+ */
+export function isCrowd(known: number): boolean {
+  return known > MOST_DIRECT;
+}
+
 /**
  * Address of the gateway that passes on changes of work for its failure
  * domain; undefined if nobody can. The reader of the store is the lowest
--- a/packages/core/src/gateway/gateway_node.ts
+++ b/packages/core/src/gateway/gateway_node.ts
@@ -1,7 +1,7 @@
 import {createPublishedConfiguration} from '../configuration/published_configuration.js';
 import {createDrain} from '../drain/drain.js';
 import {createEndpointHealth} from '../endpoint_health/endpoint_health.js';
-import {usesRelays} from '../fleet/choose_relay.js';
+import {isCrowd} from '../fleet/choose_relay.js';
 import {createFleetGossip} from '../fleet/fleet_gossip.js';
 import {createFleetMembers} from '../fleet/fleet_members.js';
 import {createWorkBoard} from '../fleet/work_board.js';
@@ -21,6 +21,7 @@
 import type {GatewayFeature} from './gateway_feature.js';
 import type {GatewayStatus} from './gateway_status.js';
 import {createGatewayReadiness} from './gateway_readiness.js';
+import {createStartTime} from './start_time.js';
 
 /** A gateway's decisions: requests, endpoints, store and peers. */
 export interface GatewayNode extends DecisionNode<GatewayEvent, GatewayAction> {
@@ -31,6 +32,7 @@
 /** Creates the decisions of a gateway that knows nothing yet. */
 export function createGatewayNode(cfg: GatewayConfig): GatewayNode {
   let settings = cfg;
+  const startTime = createStartTime();
   const configuration = createPublishedConfiguration();
   const registry = createEndpointRegistry();
   const health = createEndpointHealth();
@@ -66,7 +68,8 @@
     registry,
     health,
     board,
-    crowded: nowMs => usesRelays(members.alive(nowMs)),
+    crowded: () => isCrowd(members.known()),
+    newlyStarted: startTime.newlyStarted,
   });
   const allowance = createRetryAllowance(() => ({
     ratio: settings.retryRatio,
@@ -127,6 +130,7 @@
   };
 
   const {step} = runFeatures<GatewayEvent, GatewayAction>([
+    startTime,
     store,
     gossip,
     forwarding,
--- a/packages/core/src/spread/choice_conditions.ts
+++ b/packages/core/src/spread/choice_conditions.ts
@@ -8,4 +8,6 @@
    * choices only after a while.
    */
   crowded: boolean;
+  /** Whether this gateway may not know yet what others have in flight. */
+  newlyStarted: boolean;
 }
--- a/packages/core/src/spread/endpoint_selection.ts
+++ b/packages/core/src/spread/endpoint_selection.ts
@@ -55,7 +55,9 @@
   health: EndpointHealth;
   board: WorkBoard;
   /** Whether peers' choices are known only after a while. */
-  crowded(nowMs: number): boolean;
+  crowded(): boolean;
+  /** Whether this gateway has just started. */
+  newlyStarted(nowMs: number): boolean;
 }
 
 /** Creates the selection of a gateway. */
@@ -156,10 +158,12 @@
         .map(entries => entries.filter(({id}) => !avoid.has(id)))
         .find(entries => entries.length > 0);
       const entries = pool ?? usable;
-      const crowded = parts.crowded(nowMs);
+      const crowded = parts.crowded();
+      const newlyStarted = parts.newlyStarted(nowMs);
+      const conditions = {random, crowded, newlyStarted};
       const chooseAmong = (some: EndpointEntry[]) => {
         const candidates = some.map(entry => candidate(nowMs, entry, spec));
-        return chooser(spec).choose(req, candidates, {random, crowded});
+        return chooser(spec).choose(req, candidates, conditions);
       };
       // Long prompts are few, and good places for them are as well.
       const sampled = crowded && spec?.engine && req.gapMs <= STRICT_GAP_MS;
--- a/packages/core/src/spread/least_loss.test.ts
+++ b/packages/core/src/spread/least_loss.test.ts
@@ -59,7 +59,12 @@
 ): EndpointChoice {
   const chooser = new LeastLoss('amman-1', PROFILE);
   const random = createTestRandom(1);
-  const conditions = {random, crowded: false, ...over};
+  const conditions = {
+    random,
+    crowded: false,
+    newlyStarted: false,
+    ...over,
+  };
   const choice = chooser.choose(req, candidates, conditions);
   assert.ok(choice);
   return choice;
@@ -120,7 +125,11 @@
 test('a prompt that no set of engines can hold finds none', () => {
   const chooser = new LeastLoss('amman-1', PROFILE);
   const req = long({promptTokens: 700_000});
-  const conditions = {random: createTestRandom(1), crowded: false};
+  const conditions = {
+    random: createTestRandom(1),
+    crowded: false,
+    newlyStarted: false,
+  };
   assert.equal(chooser.choose(req, engines(2), conditions), undefined);
 });
 
@@ -155,3 +164,23 @@
   const crowded = choose(short(), candidates, {crowded: true});
   assert.deepEqual(idsOf(crowded), ['e2']);
 });
+
+// After a restart of all gateways, each sent its requests to the three engines
+// that had got the first ones, up to eleven at the same time.
+test('gateways of a crowd that have just started take free engines', () => {
+  const candidates = engines(10, writers(1, {main: 'e1'}));
+  const taken = Array.from({length: 12}, (_, i) => {
+    const random = createTestRandom(i + 1);
+    const over = {random, crowded: true, newlyStarted: true};
+    return choose(short(), candidates, over).main.id;
+  });
+  assert.ok(taken.filter(id => id === 'e1').length <= 3, taken.join(' '));
+});
+
+test('a gateway of a crowd leaves engines free later on', () => {
+  const candidates = engines(10, writers(1, {main: 'e1'}));
+  for (let seed = 1; seed <= 12; seed++) {
+    const over = {random: createTestRandom(seed), crowded: true};
+    assert.deepEqual(idsOf(choose(short(), candidates, over)), ['e1']);
+  }
+});
--- a/packages/core/src/spread/least_loss.ts
+++ b/packages/core/src/spread/least_loss.ts
@@ -6,6 +6,7 @@
 import {passMs} from '../engine_model/pass_cost.js';
 import {partReadMs} from '../engine_model/read_cost.js';
 import {requestValue} from '../engine_model/request_value.js';
+import type {RandomSource} from '../types/random_source.js';
 import type {ChoiceRequest} from './choice_request.js';
 import type {EndpointCandidate} from './endpoint_candidate.js';
 import type {EndpointChoice} from './endpoint_choice.js';
@@ -75,6 +76,9 @@
     shared: boolean,
     conditions: ChoiceConditions,
   ): EndpointChoice | undefined {
+    const {crowded, newlyStarted} = conditions;
+    // Otherwise gateways that start together all prefer the same engine.
+    const freeEngineValue = crowded && newlyStarted ? 0 : FREE_ENGINE_VALUE;
     let best: EndpointChoice | undefined;
     for (const width of WIDTHS) {
       if (width > candidates.length) break;
@@ -83,8 +87,7 @@
       for (const turn of TURNS) {
         // Alone, a prompt waits for its turn at the engine itself.
         if (turn === 'in_turn' && width === 1) continue;
-        const {crowded} = conditions;
-        const plan = {width, shared, readMs, turn, crowded};
+        const plan = {width, shared, readMs, turn, crowded, freeEngineValue};
         const choice = this.spread(req, candidates, plan, conditions);
         if (choice && (!best || choice.loss < best.loss)) best = choice;
       }
@@ -113,7 +116,8 @@
     const main = this.bestMain(
       req,
       parts.filter(({load}) => this.hasRoom(load, mainTokens)),
-      conditions,
+      plan,
+      conditions.random,
     );
     if (!main) return undefined;
     const helpers = parts
@@ -131,7 +135,7 @@
     const expectedMs = readyMs + this.tailMs(main) + NETWORK_MS;
     const loss =
       totalHarm(chosen) +
-      this.mainLoss(req, main) +
+      this.mainLoss(req, main, plan) +
       requestLoss(req, expectedMs) +
       helpers.length * LOSS_PER_HELPER;
     return {
@@ -149,16 +153,17 @@
   private bestMain(
     req: ChoiceRequest,
     parts: PricedPart[],
-    {random, crowded}: ChoiceConditions,
+    plan: SpreadPlan,
+    random: RandomSource,
   ): PricedPart | undefined {
     return parts
       .map(part => ({
         part,
         loss:
           part.harm +
-          this.mainLoss(req, part) +
+          this.mainLoss(req, part, plan) +
           requestLoss(req, part.readyMs + this.tailMs(part)) +
-          (crowded ? random() * CROWDED_SPREAD : 0),
+          (plan.crowded ? random() * CROWDED_SPREAD : 0),
       }))
       .sort((a, b) => a.loss - b.loss || random() - 0.5)[0]?.part;
   }
@@ -170,13 +175,17 @@
     return load.backlogMs > startInMs ? load.passMs : 0;
   }
 
-  private mainLoss(req: ChoiceRequest, {entry, load}: PricedPart): number {
+  private mainLoss(
+    req: ChoiceRequest,
+    {entry, load}: PricedPart,
+    {freeEngineValue}: SpreadPlan,
+  ): number {
     const far = entry.failureDomain !== this.failureDomain;
     const bytes = req.bodyBytes + req.outputTokens * BYTES_PER_TOKEN;
     const strict = req.gapMs <= STRICT_GAP_MS;
     return (
       (far ? bytes * LOSS_PER_FAR_BYTE : 0) +
-      (strict && !load.strict ? FREE_ENGINE_VALUE : 0) +
+      (strict && !load.strict ? freeEngineValue : 0) +
       this.pauseLoss(req, load)
     );
   }
--- a/packages/core/src/spread/spread_plan.ts
+++ b/packages/core/src/spread/spread_plan.ts
@@ -10,4 +10,6 @@
   turn: 'at_once' | 'in_turn';
   /** See `ChoiceConditions`. */
   crowded: boolean;
+  /** Worth of an engine without strict streams. */
+  freeEngineValue: number;
 }
