--- a/packages/core/src/forwarding/dispatcher.ts
+++ b/packages/core/src/forwarding/dispatcher.ts
@@ -114,8 +114,8 @@
     const busyMs = selection.busyMs(nowMs, req.service, choice, own);
     // A request that is kept beyond its target loses its worth in any case.
     const mayWait = nowMs + LONGEST_DELAY_MS < targetEndMs(req);
-    const late = busyMs >= LEAST_WAIT_MS && planned.delays < MAX_DELAYS;
-    if (late && mayWait) {
+    const stillBusy = busyMs >= LEAST_WAIT_MS;
+    if (stillBusy && planned.delays < MAX_DELAYS && mayWait) {
       planned.delays += 1;
       planned.startMs = ctx.nowMs + Math.min(busyMs, LONGEST_DELAY_MS);
       return;
