Call a request not run only if that is proved, also for want of room

Both places that end a request for want of room or memory decide by the proof now, as the end after a failed attempt did.

The model feeds a gateway random requests, engines that fail, repeat, skip and fall silent, memory that is refused or lost, changes of the registry, peers' work, pauses and a stop, and checks what callers and endpoints see: one final answer in time, no second run of what must not be repeated, pieces in order, true refusals, memory freed, no request kept beyond its target unsent.

--- a/packages/core/src/forwarding/attempt_failures.ts
+++ b/packages/core/src/forwarding/attempt_failures.ts
@@ -80,7 +80,7 @@
       },
     });
     if (mayRepeat(ctx, req, failure)) return dispatcher.dispatch(ctx, req);
-    end.giveUp(ctx, req, req.history.notRunProof() ? 'overloaded' : 'broken');
+    end.unserved(ctx, req);
   }
 
   function noteFailure(
--- a/packages/core/src/forwarding/dispatcher.ts
+++ b/packages/core/src/forwarding/dispatcher.ts
@@ -75,7 +75,7 @@
       logNoRoute(ctx, req, pool, slow, configuration.version());
     }
     const waitEndMs = roomWaitEndMs(req);
-    if (nowMs >= waitEndMs) return end.giveUp(ctx, req, 'overloaded');
+    if (nowMs >= waitEndMs) return end.unserved(ctx, req);
     req.roomCheckMs = Math.min(nowMs + ROOM_CHECK_INTERVAL_MS, waitEndMs);
   }
 
@@ -155,7 +155,7 @@
     req.failedAt.add(engine);
     req.refusedRounds += 1;
     const over = req.refusedRounds >= MAX_MEMORY_ROUNDS;
-    if (over) end.giveUp(ctx, req, 'overloaded');
+    if (over) end.unserved(ctx, req);
     else dispatch(ctx, req);
   }
 
--- a/packages/core/src/forwarding/request_end.ts
+++ b/packages/core/src/forwarding/request_end.ts
@@ -10,6 +10,8 @@
 export interface RequestEnd {
   /** Answers with a failure of this gateway's own. */
   giveUp(ctx: GatewayContext, req: ForwardedRequest, refusal: Refusal): void;
+  /** Answers that no endpoint serves the request, by what was proved of it. */
+  unserved(ctx: GatewayContext, req: ForwardedRequest): void;
   /** Forgets a request that has its final answer. */
   finish(
     ctx: GatewayContext,
@@ -67,11 +69,15 @@
     finish(ctx, req, 'failed', refusal);
   }
 
+  function unserved(ctx: GatewayContext, req: ForwardedRequest): void {
+    giveUp(ctx, req, req.history.notRunProof() ? 'overloaded' : 'broken');
+  }
+
   function cancel(ctx: GatewayContext, req: ForwardedRequest): void {
     if (!req.current) return;
     const {attempt} = req.current;
     ctx.emit({kind: 'cancel_attempt', reqId: req.reqId, attempt});
   }
 
-  return {giveUp, finish, cancel, dropPlan};
+  return {giveUp, unserved, finish, cancel, dropPlan};
 }
--- a/packages/core/src/forwarding/room_wait.test.ts
+++ b/packages/core/src/forwarding/room_wait.test.ts
@@ -88,6 +88,15 @@
   assert.ok(started(gateway.step(long)));
 });
 
+// The second engine left while the first one broke off.
+test('a request that may have run is not called "not run" for want of room', () => {
+  const gateway = readyGateway({entries: ONE_ENGINE});
+  gateway.step(requestArrived());
+  leaves(gateway, 'e1');
+  gateway.step(attemptFailed('broken'), 20);
+  assert.equal(refusedWithin(gateway, 200), 'broken');
+});
+
 test('a stream that has begun waits for an engine instead of breaking', () => {
   const gateway = readyGateway({entries: ONE_ENGINE});
   gateway.step(requestArrived());
--- /dev/null
+++ b/packages/core/src/mocks/model_endpoints.ts
@@ -0,0 +1,122 @@
+import type {AttemptFailure} from '../types/attempt_failure.js';
+import type {GatewayAction} from '../gateway/actions/gateway_action.js';
+import type {OrderMemory} from '../gateway/actions/order_memory.js';
+import type {StartAttempt} from '../gateway/actions/start_attempt.js';
+import type {GatewayEvent} from '../gateway/events/gateway_event.js';
+import type {MemoryAnswer} from '../tickets/memory_answer.js';
+import type {RandomSource} from '../types/random_source.js';
+
+/** Most pieces of a stream. */
+const MOST_PIECES = 12;
+
+/** Endpoints that answer at random, some of them wrongly or never. */
+export interface ModelEndpoints {
+  /** What a gateway orders; answers come later. */
+  take(nowMs: number, action: GatewayAction): void;
+  /** Events that are due, oldest first. */
+  due(nowMs: number): GatewayEvent[];
+}
+
+/** Creates endpoints that have no work. */
+export function createModelEndpoints(random: RandomSource): ModelEndpoints {
+  let pending: {atMs: number; event: GatewayEvent}[] = [];
+
+  function within(leastMs: number, mostMs: number): number {
+    return leastMs + random() * (mostMs - leastMs);
+  }
+
+  function fail(
+    atMs: number,
+    {reqId, attempt}: StartAttempt,
+    failure: AttemptFailure,
+    atFault = '',
+  ): void {
+    const event = {
+      kind: 'attempt_failed',
+      reqId,
+      attempt,
+      failure,
+      detail: '',
+      atFault,
+    } as const;
+    pending.push({atMs, event});
+  }
+
+  function attempt(nowMs: number, action: StartAttempt): void {
+    const chance = random();
+    if (chance < 0.08) {
+      return fail(nowMs + within(1, 30), action, 'connect_failed');
+    }
+    if (chance < 0.18) {
+      const [helper] = action.helpers;
+      const atFault = random() < 0.5 ? (helper?.address ?? '') : '';
+      const atMs = nowMs + within(2, 40);
+      return fail(atMs, action, 'said_not_run', atFault);
+    }
+    if (chance < 0.24) return fail(nowMs + within(5, 900), action, 'broken');
+    if (chance < 0.3) return;
+    if (action.streamed) stream(nowMs, action);
+    else answer(nowMs, action);
+  }
+
+  function answer(nowMs: number, {reqId, attempt}: StartAttempt): void {
+    const status = random() < 0.15 ? 500 : 200;
+    const event = {kind: 'answer_received', reqId, attempt, status} as const;
+    pending.push({atMs: nowMs + within(5, 400), event});
+  }
+
+  function stream(nowMs: number, action: StartAttempt): void {
+    const {reqId, attempt, resumeAfter} = action;
+    let atMs = nowMs + within(20, 1_500);
+    const breaksAt = random() < 0.15 ? Math.ceil(random() * MOST_PIECES) : 0;
+    const skipped = random() < 0.05 ? Math.ceil(random() * MOST_PIECES) : 0;
+    // Some engines repeat what the caller has already.
+    const first = random() < 0.2 ? 1 : resumeAfter + 1;
+    for (let piece = first; piece <= MOST_PIECES; piece++) {
+      if (piece === breaksAt) return fail(atMs, action, 'broken');
+      atMs += within(5, random() < 0.05 ? 2_500 : 150);
+      if (piece === skipped) continue;
+      const payload = new Uint8Array([piece]);
+      const event = {reqId, attempt, piece, payload};
+      pending.push({atMs, event: {kind: 'piece_received', ...event}});
+    }
+    pending.push({atMs, event: {kind: 'stream_ended', reqId, attempt}});
+  }
+
+  function memory(nowMs: number, {ticket, endpoint}: OrderMemory): void {
+    const chance = random();
+    if (chance < 0.06) return;
+    const answer: MemoryAnswer =
+      chance < 0.12 ? 'refused' : chance < 0.2 ? 'unknown' : 'done';
+    // A refused connection is known at once.
+    const atMs = nowMs + (answer === 'unknown' ? 0 : within(1, 60));
+    const event = {kind: 'memory_settled', ticket, endpoint, answer} as const;
+    pending.push({atMs, event});
+  }
+
+  function cancelled(reqId: string, attempt: number): void {
+    // What is on its way arrives all the same.
+    if (random() < 0.2) return;
+    pending = pending.filter(
+      ({event}) =>
+        !('attempt' in event) ||
+        event.reqId !== reqId ||
+        event.attempt !== attempt,
+    );
+  }
+
+  return {
+    take: (nowMs, action) => {
+      if (action.kind === 'start_attempt') attempt(nowMs, action);
+      if (action.kind === 'cancel_attempt') {
+        cancelled(action.reqId, action.attempt);
+      }
+      if (action.kind === 'order_memory') memory(nowMs, action);
+    },
+    due: nowMs => {
+      const ready = pending.filter(({atMs}) => atMs <= nowMs);
+      pending = pending.filter(({atMs}) => atMs > nowMs);
+      return ready.sort((a, b) => a.atMs - b.atMs).map(({event}) => event);
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/mocks/promise_watch.ts
@@ -0,0 +1,182 @@
+import assert from 'node:assert/strict';
+import type {Route} from '../configuration/route.js';
+import type {GatewayAction} from '../gateway/actions/gateway_action.js';
+import type {OrderMemory} from '../gateway/actions/order_memory.js';
+import type {Refuse} from '../gateway/actions/refuse.js';
+import type {StartAttempt} from '../gateway/actions/start_attempt.js';
+import type {GatewayEvent} from '../gateway/events/gateway_event.js';
+import type {RequestArrived} from '../gateway/events/request_arrived.js';
+import type {WatchedRequest} from './watched_request.js';
+
+/** Refusals which state that no endpoint has run the request. */
+const STATE_NOT_RUN = new Set([
+  'overloaded',
+  'not_ready',
+  'draining',
+  'timed_out_unrun',
+]);
+/** Shorter prompts are never shared by engines, which takes orders. */
+const LEAST_SHARED_TOKENS = 50_000;
+/** Orders about one piece of memory within a tenth of a second. */
+const MOST_ORDERS = 3;
+const ORDER_WINDOW_MS = 100;
+
+/** Judges what a gateway does by its promises to callers. */
+export interface PromiseWatch {
+  arrived(event: RequestArrived, route: Route, nowMs: number): void;
+  /** An event was fed that tells of a request. */
+  fed(event: GatewayEvent): void;
+  did(action: GatewayAction, nowMs: number): void;
+  /** Time in which the process did not run. */
+  paused(ms: number): void;
+  /** All that is due at a time was done. */
+  settled(nowMs: number): void;
+  /** Requests without a final answer. */
+  open(): string[];
+  /** Checks what holds once nothing is open. */
+  ended(): void;
+}
+
+/** Creates a watch of a gateway without requests. */
+export function createPromiseWatch(): PromiseWatch {
+  const requests = new Map<string, WatchedRequest>();
+  const held = new Map<string, 'reserve' | 'release'>();
+  const ordered = new Map<string, number[]>();
+  let pausedMs = 0;
+
+  function of(reqId: string): WatchedRequest {
+    const request = requests.get(reqId);
+    assert.ok(request, `nothing is known of ${reqId}`);
+    return request;
+  }
+
+  function started({reqId, attempt, notAfterMs}: StartAttempt): void {
+    const request = of(reqId);
+    assert.ok(!request.over, `${reqId} is sent after its end`);
+    const earlier = [...request.attempts.values()];
+    assert.ok(!earlier.includes('running'), `${reqId} runs twice at a time`);
+    if (request.route.kind === 'non_idempotent') {
+      const unrun = earlier.every(state => state === 'not_run');
+      assert.ok(unrun, `${reqId} may run twice`);
+    }
+    assert.ok(notAfterMs <= request.deadlineMs, `${reqId} outlives its time`);
+    request.attempts.set(attempt, 'running');
+    const runs = earlier.filter(state => state !== 'not_run').length + 1;
+    assert.ok(runs <= request.route.maxAttempts, `${reqId} runs ${runs} times`);
+  }
+
+  function refused({reqId, refusal}: Refuse): void {
+    const request = of(reqId);
+    assert.ok(!request.begun, `${reqId} is refused in the middle`);
+    if (STATE_NOT_RUN.has(refusal)) {
+      const states = [...request.attempts.values()];
+      const unrun = states.every(state => state === 'not_run');
+      assert.ok(unrun, `${reqId} is falsely called not run: ${refusal}`);
+    }
+    over(reqId);
+  }
+
+  function over(reqId: string): void {
+    const request = of(reqId);
+    assert.ok(!request.over, `${reqId} ends twice`);
+    request.over = true;
+  }
+
+  function ordersMemory(order: OrderMemory, nowMs: number): void {
+    const key = `${order.ticket} ${order.endpoint}`;
+    held.set(key, order.order);
+    const recent = [...(ordered.get(key) ?? []), nowMs].filter(
+      atMs => nowMs - atMs < ORDER_WINDOW_MS,
+    );
+    ordered.set(key, recent);
+    assert.ok(recent.length <= MOST_ORDERS, `${key} is ordered without pause`);
+  }
+
+  function did(action: GatewayAction, nowMs: number): void {
+    switch (action.kind) {
+      case 'start_attempt':
+        return started(action);
+      case 'refuse':
+        return refused(action);
+      case 'cancel_attempt':
+        // It may have run.
+        of(action.reqId).attempts.set(action.attempt, 'ended');
+        return;
+      case 'begin_stream':
+        of(action.reqId).begun = true;
+        return;
+      case 'deliver_piece': {
+        const request = of(action.reqId);
+        assert.ok(!request.over, `${action.reqId} goes on after its end`);
+        assert.equal(action.payload[0], request.lastPiece + 1);
+        request.lastPiece += 1;
+        return;
+      }
+      case 'deliver_answer':
+      case 'end_stream':
+      case 'break_stream':
+        return over(action.reqId);
+      case 'order_memory':
+        return ordersMemory(action, nowMs);
+      default:
+        return;
+    }
+  }
+
+  function fed(event: GatewayEvent): void {
+    if (event.kind === 'caller_left') {
+      const request = requests.get(event.reqId);
+      if (request) request.over = true;
+      return;
+    }
+    if (!('attempt' in event)) return;
+    const {attempts} = of(event.reqId);
+    if (attempts.get(event.attempt) !== 'running') return;
+    if (event.kind === 'piece_received') return;
+    const unrun =
+      event.kind === 'attempt_failed' &&
+      ['connect_failed', 'said_not_run'].includes(event.failure);
+    attempts.set(event.attempt, unrun ? 'not_run' : 'ended');
+  }
+
+  function settled(nowMs: number): void {
+    for (const [reqId, request] of requests) {
+      if (request.over) continue;
+      assert.ok(nowMs < request.deadlineMs, `${reqId} has no answer in time`);
+      if (request.attempts.size > 0 || request.waitsForMemory) continue;
+      const waitedMs = nowMs - request.arrivedMs - pausedMs;
+      const inTarget = waitedMs <= request.route.targetMs;
+      assert.ok(inTarget, `${reqId} is kept ${waitedMs} ms and not sent`);
+    }
+  }
+
+  return {
+    arrived: (event, route, nowMs) => {
+      const {reqId, promptTokens, remainingMs, resumeAfter} = event;
+      const timeMs = Math.min(route.timeoutMs, remainingMs ?? Infinity);
+      requests.set(reqId, {
+        route,
+        arrivedMs: nowMs - pausedMs,
+        deadlineMs: nowMs + timeMs,
+        attempts: new Map(),
+        waitsForMemory: promptTokens > LEAST_SHARED_TOKENS,
+        over: false,
+        begun: false,
+        lastPiece: resumeAfter,
+      });
+    },
+    fed,
+    did,
+    paused: ms => {
+      pausedMs += ms;
+    },
+    settled,
+    open: () =>
+      [...requests].filter(([, {over}]) => !over).map(([reqId]) => reqId),
+    ended: () => {
+      for (const [key, order] of held) {
+        assert.equal(order, 'release', `${key} is never freed`);
+      }
+    },
+  };
+}
