Let engines of the gateway's model stay dead, and watch streams that may not be resumed

Engines that refused one order answered the next, so orders without pause were not seen, and a second run of a stream that may not be resumed was not judged.

--- a/packages/core/src/gateway/gateway_model.test.ts
+++ b/packages/core/src/gateway/gateway_model.test.ts
@@ -38,7 +38,7 @@
   targetGapMs: 1_000,
 });
 const ONCE = streamRoute({name: 'once', prefix: '/once/', resumable: false});
-const WRITE = callRoute();
+const WRITE = callRoute({maxAttempts: 2});
 const READ = callRoute({
   name: 'read',
   prefix: '/read/',
--- a/packages/core/src/mocks/model_endpoints.ts
+++ b/packages/core/src/mocks/model_endpoints.ts
@@ -20,6 +20,8 @@
 /** Creates endpoints that have no work. */
 export function createModelEndpoints(random: RandomSource): ModelEndpoints {
   let pending: {atMs: number; event: GatewayEvent}[] = [];
+  /** Endpoints that refuse connections for orders from some time on. */
+  const dead = new Set<string>();
 
   function within(leastMs: number, mostMs: number): number {
     return leastMs + random() * (mostMs - leastMs);
@@ -86,8 +88,12 @@
   function memory(nowMs: number, {ticket, endpoint}: OrderMemory): void {
     const chance = random();
     if (chance < 0.06) return;
-    const answer: MemoryAnswer =
-      chance < 0.12 ? 'refused' : chance < 0.2 ? 'unknown' : 'done';
+    if (chance > 0.92) dead.add(endpoint);
+    const answer: MemoryAnswer = dead.has(endpoint)
+      ? 'unknown'
+      : chance < 0.12
+        ? 'refused'
+        : 'done';
     // A refused connection is known at once.
     const atMs = nowMs + (answer === 'unknown' ? 0 : within(1, 60));
     const event = {kind: 'memory_settled', ticket, endpoint, answer} as const;
--- a/packages/core/src/mocks/promise_watch.ts
+++ b/packages/core/src/mocks/promise_watch.ts
@@ -55,7 +55,8 @@
     assert.ok(!request.over, `${reqId} is sent after its end`);
     const earlier = [...request.attempts.values()];
     assert.ok(!earlier.includes('running'), `${reqId} runs twice at a time`);
-    if (request.route.kind === 'non_idempotent') {
+    const {kind, resumable} = request.route;
+    if (kind === 'non_idempotent' || (kind === 'stream' && !resumable)) {
       const unrun = earlier.every(state => state === 'not_run');
       assert.ok(unrun, `${reqId} may run twice`);
     }
