--- a/packages/core/src/endpoint_health/endpoint_health.test.ts
+++ b/packages/core/src/endpoint_health/endpoint_health.test.ts
@@ -95,6 +95,23 @@
   assert.deepEqual(endpointsOf(other, 3), ['e2', 'e2', 'e2']);
 });
 
+// 19 of 60 long prompts failed while 11 engines left and the store was silent:
+// each gateway found out about each engine for itself.
+test('peers are told of a helper that another endpoint found out of reach', () => {
+  const gateway = readyGateway({entries: TWO_ENGINES});
+  gateway.step(fromPeer(beatOf()));
+  const main = started(gateway.step(requestArrived()))?.endpoint;
+  const helper = main === 'e1' ? 'e2' : 'e1';
+  const failed = attemptFailed('said_not_run');
+  const actions = gateway.step({...failed, atFault: helper} as GatewayEvent);
+  const doubts = actions.flatMap(action =>
+    action.kind === 'send_peers' && action.message.kind === 'endpoint_doubt'
+      ? [action.message.endpoint]
+      : [],
+  );
+  assert.deepEqual(doubts, [helper]);
+});
+
 test('where all endpoints are doubtful, one is tried rather than none', () => {
   const gateway = readyGateway({entries: TWO_ENGINES});
   for (const endpoint of ['e1', 'e2']) {
