--- a/packages/core/src/spread/least_loss.ts
+++ b/packages/core/src/spread/least_loss.ts
@@ -1,17 +1,14 @@
 import type {ChoiceConditions} from './choice_conditions.js';
 import type {EngineProfile} from '../configuration/engine_profile.js';
 import type {EngineLoad} from '../engine_model/engine_load.js';
-import {STRICT_GAP_MS} from '../engine_model/estimate_load.js';
-import {lateness} from '../engine_model/lateness.js';
 import {passMs} from '../engine_model/pass_cost.js';
 import {partReadMs} from '../engine_model/read_cost.js';
-import {requestValue} from '../engine_model/request_value.js';
 import type {RandomSource} from '../types/random_source.js';
 import type {ChoiceRequest} from './choice_request.js';
 import type {EndpointCandidate} from './endpoint_candidate.js';
 import type {EndpointChoice} from './endpoint_choice.js';
 import {EndpointChooser} from './endpoint_chooser.js';
-import {LATE_SHARE} from './loss_shares.js';
+import {mainLoss} from './main_loss.js';
 import {partLoss, pricePart, totalHarm} from './price_part.js';
 import type {PricedPart} from './priced_part.js';
 import {requestLoss} from './request_loss.js';
@@ -25,10 +22,6 @@
 const LEAST_SPREAD_MS = 60;
 /** Parts that take less to read gain nothing from more helpers. */
 const LEAST_PART_MS = 30;
-/** Worth of a byte that crosses failure domains. */
-const LOSS_PER_FAR_BYTE = 2e-6;
-/** Bytes of a stream for each token of its answer. */
-const BYTES_PER_TOKEN = 1.8;
 /**
  * Worth of an engine without strict streams, on which long prompts can be
  * read; a strict stream that goes there takes this away.
@@ -135,7 +128,7 @@
     const expectedMs = readyMs + this.tailMs(main) + NETWORK_MS;
     const loss =
       totalHarm(chosen) +
-      this.mainLoss(req, main, plan) +
+      mainLoss(this.profile, this.failureDomain, req, main, plan) +
       requestLoss(req, expectedMs) +
       helpers.length * LOSS_PER_HELPER;
     return {
@@ -161,7 +154,7 @@
         part,
         loss:
           part.harm +
-          this.mainLoss(req, part, plan) +
+          mainLoss(this.profile, this.failureDomain, req, part, plan) +
           requestLoss(req, part.readyMs + this.tailMs(part)) +
           (plan.crowded ? random() * CROWDED_SPREAD : 0),
       }))
@@ -175,28 +168,6 @@
     return load.backlogMs > startInMs ? load.passMs : 0;
   }
 
-  private mainLoss(
-    req: ChoiceRequest,
-    {entry, load}: PricedPart,
-    {freeEngineValue}: SpreadPlan,
-  ): number {
-    const far = entry.failureDomain !== this.failureDomain;
-    const bytes = req.bodyBytes + req.outputTokens * BYTES_PER_TOKEN;
-    const strict = req.gapMs <= STRICT_GAP_MS;
-    return (
-      (far ? bytes * LOSS_PER_FAR_BYTE : 0) +
-      (strict && !load.strict ? freeEngineValue : 0) +
-      this.pauseLoss(req, load)
-    );
-  }
-
-  /** Loss of a stream that joins the engine by pauses between its pieces. */
-  private pauseLoss(req: ChoiceRequest, load: EngineLoad): number {
-    const ms = passMs(this.profile, load.writers + 1, 0) + load.plannedMs;
-    const value = requestValue(req.promptTokens);
-    return LATE_SHARE * value * lateness(ms, req.gapMs);
-  }
-
   private hasRoom(load: EngineLoad, tokens: number): boolean {
     return load.heldTokens + tokens <= this.profile.memoryTokens;
   }
--- /dev/null
+++ b/packages/core/src/spread/main_loss.ts
@@ -0,0 +1,47 @@
+import type {EngineProfile} from '../configuration/engine_profile.js';
+import type {EngineLoad} from '../engine_model/engine_load.js';
+import {STRICT_GAP_MS} from '../engine_model/estimate_load.js';
+import {lateness} from '../engine_model/lateness.js';
+import {passMs} from '../engine_model/pass_cost.js';
+import {requestValue} from '../engine_model/request_value.js';
+import type {ChoiceRequest} from './choice_request.js';
+import {LATE_SHARE} from './loss_shares.js';
+import type {PricedPart} from './priced_part.js';
+import type {SpreadPlan} from './spread_plan.js';
+
+/** Worth of a byte that crosses failure domains. */
+const LOSS_PER_FAR_BYTE = 2e-6;
+/** Bytes of a stream for each token of its answer. */
+const BYTES_PER_TOKEN = 1.8;
+
+/**
+ * Loss if an engine answers a request, besides what reading it costs there.
+ * @param failureDomain of this gateway
+ */
+export function mainLoss(
+  profile: EngineProfile,
+  failureDomain: string,
+  req: ChoiceRequest,
+  {entry, load}: PricedPart,
+  {freeEngineValue}: SpreadPlan,
+): number {
+  const far = entry.failureDomain !== failureDomain;
+  const bytes = req.bodyBytes + req.outputTokens * BYTES_PER_TOKEN;
+  const strict = req.gapMs <= STRICT_GAP_MS;
+  return (
+    (far ? bytes * LOSS_PER_FAR_BYTE : 0) +
+    (strict && !load.strict ? freeEngineValue : 0) +
+    pauseLoss(profile, req, load)
+  );
+}
+
+/** Loss of a stream that joins the engine by pauses between its pieces. */
+function pauseLoss(
+  profile: EngineProfile,
+  req: ChoiceRequest,
+  load: EngineLoad,
+): number {
+  const ms = passMs(profile, load.writers + 1, 0) + load.plannedMs;
+  const value = requestValue(req.promptTokens);
+  return LATE_SHARE * value * lateness(ms, req.gapMs);
+}
