Follow what endpoints say of themselves in their answers

An endpoint that is shutting down says so in all its answers, and one that refuses with 503 may say for how long it wants nothing from that gateway. Both were ignored: a gateway whose store was away went on sending to a leaving endpoint, and a busy one was asked again at once.

If all endpoints of a service paused, a request waits for the first end within half of its target, else it is refused until then. Releases of memory are still sent: they give the engine what it lacks.

Two process tests on real gateways, one with a silent store.

--- a/packages/cli/src/client/gateway_status_response.ts
+++ b/packages/cli/src/client/gateway_status_response.ts
@@ -26,6 +26,8 @@
       failureDomain: z.string(),
       standing: z.string(),
       asideMs: z.number(),
+      // Gateways of earlier releases do not send it.
+      pausedMs: z.number().default(0),
       failures: z.number(),
       lastFailure: z.string(),
       pace: z.number(),
--- a/packages/cli/src/commands/gateway_status.ts
+++ b/packages/cli/src/commands/gateway_status.ts
@@ -30,6 +30,7 @@
         'reading ms',
         'pace',
         'aside ms',
+        'paused ms',
         'last failure',
       ],
       rows: endpoints.map(endpoint => [
@@ -41,6 +42,7 @@
         Math.round(endpoint.readingMs),
         endpoint.pace.toFixed(2),
         Math.round(endpoint.asideMs),
+        Math.round(endpoint.pausedMs),
         endpoint.lastFailure,
       ]),
       notes: notes(response.val),
--- a/packages/cli/src/gateway_commands.test.ts
+++ b/packages/cli/src/gateway_commands.test.ts
@@ -31,6 +31,7 @@
         failureDomain: 'zone-a',
         standing: 'ready',
         asideMs: 0,
+        pausedMs: 1_500,
         failures: 0,
         lastFailure: '',
         pace: 1.25,
--- /dev/null
+++ b/packages/core/src/endpoint_hints/endpoint_hints.ts
@@ -0,0 +1,18 @@
+/** What an answer says about its endpoint, apart from the request itself. */
+export interface EndpointHints {
+  /** Whether the endpoint is shutting down and must get no new work. */
+  leaving: boolean;
+  /**
+   * Time for which the endpoint wants nothing from this gateway, in
+   * milliseconds; undefined if it did not ask for a pause.
+   */
+  pauseMs: number | undefined;
+}
+
+/** Hints of an answer that says nothing about its endpoint. */
+export const NO_HINTS: EndpointHints = {leaving: false, pauseMs: undefined};
+
+/** Whether an answer says anything about its endpoint. */
+export function hasHints({leaving, pauseMs}: EndpointHints): boolean {
+  return leaving || pauseMs !== undefined;
+}
--- a/packages/core/src/fleet/messages/peer_message.ts
+++ b/packages/core/src/fleet/messages/peer_message.ts
@@ -1,5 +1,6 @@
 import type {Beat} from './beat.js';
 import type {EndpointDoubt} from './endpoint_doubt.js';
+import type {EndpointLeaving} from './endpoint_leaving.js';
 import type {StateCopy} from './state_copy.js';
 import type {StatePull} from './state_pull.js';
 import type {StoreNews} from './store_news.js';
@@ -10,6 +11,7 @@
 export type PeerMessage =
   | Beat
   | EndpointDoubt
+  | EndpointLeaving
   | StateCopy
   | StatePull
   | StoreNews
--- a/packages/core/src/forwarding/attempt_answers.ts
+++ b/packages/core/src/forwarding/attempt_answers.ts
@@ -1,7 +1,9 @@
+import type {HintHandler} from '../endpoint_hints/hint_handler.js';
 import type {EndpointHealth} from '../endpoint_health/endpoint_health.js';
 import type {FleetGossip} from '../fleet/fleet_gossip.js';
 import type {AnswerReceived} from '../gateway/events/answer_received.js';
 import type {AttemptFailed} from '../gateway/events/attempt_failed.js';
+import type {HintsReceived} from '../gateway/events/hints_received.js';
 import type {PieceReceived} from '../gateway/events/piece_received.js';
 import type {StreamEnded} from '../gateway/events/stream_ended.js';
 import type {GatewayContext} from '../gateway/gateway_context.js';
@@ -22,6 +24,7 @@
 export interface AttemptAnswerParts {
   requests: Map<string, ForwardedRequest>;
   health: EndpointHealth;
+  hints: HintHandler;
   gossip: FleetGossip;
   reservations: Pick<MemoryReservations, 'release'>;
   end: RequestEnd;
@@ -47,6 +50,11 @@
     return {req, current: req.current};
   }
 
+  function hintsReceived(ctx: GatewayContext, event: HintsReceived): void {
+    const found = currentOf(event.reqId, event.attempt);
+    if (found) parts.hints.apply(ctx, found.current.choice.main, event.hints);
+  }
+
   function piece(ctx: GatewayContext, event: PieceReceived): void {
     const found = currentOf(event.reqId, event.attempt);
     if (!found) return;
@@ -157,6 +165,7 @@
 
   return {
     handlers: {
+      hints_received: hintsReceived,
       piece_received: piece,
       stream_ended: streamEnded,
       answer_received: answered,
--- a/packages/core/src/forwarding/dispatcher.ts
+++ b/packages/core/src/forwarding/dispatcher.ts
@@ -8,7 +8,7 @@
 import type {ForwardedRequest} from './forwarded_request.js';
 import type {PlannedStart} from './planned_start.js';
 import type {RequestEnd} from './request_end.js';
-import {capacityWaitEndMs} from './capacity_wait.js';
+import {capacityWaitEndMs, pauseWaitEndMs} from './capacity_wait.js';
 import {logNoRoute, logRoute} from './route_log.js';
 import {servesInTime, targetEndMs} from './serves_in_time.js';
 
@@ -85,6 +85,8 @@
       const pool = selection.pool(nowMs, req.service);
       logNoRoute(ctx, req, pool, slow, configuration.version());
     }
+    const resumeMs = selection.pausedUntilMs(nowMs, req.service);
+    if (resumeMs !== undefined) return awaitPauseEnd(ctx, req, resumeMs);
     const waitEndMs = capacityWaitEndMs(req);
     if (nowMs >= waitEndMs) return end.failUnserved(ctx, req);
     req.nextCapacityCheckMs = Math.min(
@@ -93,6 +95,19 @@
     );
   }
 
+  /**
+   * All endpoints asked for a pause. The request waits for the first end if
+   * that may be in time; otherwise it is refused until then.
+   */
+  function awaitPauseEnd(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    resumeMs: number,
+  ): void {
+    if (resumeMs < pauseWaitEndMs(req)) req.nextCapacityCheckMs = resumeMs;
+    else end.failUnserved(ctx, req, resumeMs - ctx.nowMs);
+  }
+
   /** Plans a start on engines that prefill other prompts first. */
   function planStart(
     ctx: GatewayContext,
@@ -156,8 +171,15 @@
     reservation: AttemptReservation,
   ): void {
     const req = requests.get(reqId);
-    if (req) start(ctx, req, reservation.choice, reservation.ticket);
-    else reservations.release(ctx, reqId);
+    if (!req) return reservations.release(ctx, reqId);
+    const {choice, ticket} = reservation;
+    if (selection.isUsable(ctx.nowMs, req.service, choice)) {
+      return start(ctx, req, choice, ticket);
+    }
+    // An engine left, failed or asked for a pause while memory was reserved.
+    end.cancelPlannedStart(req);
+    reservations.release(ctx, reqId);
+    dispatch(ctx, req);
   }
 
   function onMemoryRefused(
--- a/packages/core/src/forwarding/forwarding.ts
+++ b/packages/core/src/forwarding/forwarding.ts
@@ -1,4 +1,6 @@
 import type {PublishedConfiguration} from '../configuration/published_configuration.js';
+import type {EndpointPauses} from '../endpoint_hints/endpoint_pauses.js';
+import type {HintHandler} from '../endpoint_hints/hint_handler.js';
 import type {EndpointHealth} from '../endpoint_health/endpoint_health.js';
 import type {FleetGossip} from '../fleet/fleet_gossip.js';
 import type {FleetMembers} from '../fleet/fleet_members.js';
@@ -33,6 +35,8 @@
   selection: EndpointSelection;
   health: EndpointHealth;
   members: FleetMembers;
+  hints: HintHandler;
+  pauses: EndpointPauses;
   gossip: FleetGossip;
   retryBudget: RetryBudget;
   /** Id of an endpoint by its id or address; undefined if unknown. */
@@ -52,6 +56,8 @@
   const reservations = createMemoryReservations({
     self: parts.self,
     incarnation: parts.incarnation,
+    pauseEndMs: parts.pauses.endMs,
+    onHints: parts.hints.apply,
     onReserved: (ctx, reqId, reservation) =>
       dispatcher.onMemoryReserved(ctx, reqId, reservation),
     onRefused: (ctx, reqId, engine) =>
--- a/packages/core/src/forwarding/request_end.ts
+++ b/packages/core/src/forwarding/request_end.ts
@@ -10,8 +10,15 @@
 export interface RequestEnd {
   /** Answers with a failure by this gateway itself. */
   fail(ctx: GatewayContext, req: ForwardedRequest, refusal: Refusal): void;
-  /** Answers `overloaded` if the request is proven not run, else `broken`. */
-  failUnserved(ctx: GatewayContext, req: ForwardedRequest): void;
+  /**
+   * Answers `overloaded` if the request is proven not run, else `broken`.
+   * @param retryAfterMs when a repeat can be served, if that is known
+   */
+  failUnserved(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    retryAfterMs?: number,
+  ): void;
   /** Removes and reports a request that has its final answer. */
   finish(
     ctx: GatewayContext,
@@ -58,19 +65,29 @@
     ctx: GatewayContext,
     req: ForwardedRequest,
     refusal: Refusal,
+    retryAfterMs = RETRY_AFTER_MS,
   ): void {
     const {reqId} = req;
     if (req.streamStarted) ctx.emit({kind: 'break_stream', reqId});
     else {
-      const retryAfterMs =
-        refusal === 'overloaded' ? RETRY_AFTER_MS : undefined;
-      ctx.emit({kind: 'refuse', reqId, refusal, retryAfterMs});
+      const overloaded = refusal === 'overloaded';
+      ctx.emit({
+        kind: 'refuse',
+        reqId,
+        refusal,
+        retryAfterMs: overloaded ? retryAfterMs : undefined,
+      });
     }
     finish(ctx, req, 'failed', refusal);
   }
 
-  function failUnserved(ctx: GatewayContext, req: ForwardedRequest): void {
-    fail(ctx, req, req.history.notRunProof() ? 'overloaded' : 'broken');
+  function failUnserved(
+    ctx: GatewayContext,
+    req: ForwardedRequest,
+    retryAfterMs?: number,
+  ): void {
+    const refusal = req.history.notRunProof() ? 'overloaded' : 'broken';
+    fail(ctx, req, refusal, retryAfterMs);
   }
 
   function cancel(ctx: GatewayContext, req: ForwardedRequest): void {
--- a/packages/core/src/forwarding/route_log.ts
+++ b/packages/core/src/forwarding/route_log.ts
@@ -57,6 +57,7 @@
       dueInMs: Math.round(dueInMs),
       registered: pool.registered,
       sound: pool.healthy,
+      paused: pool.paused,
       freeTokens: pool.freeTokens,
       roomiestTokens: pool.maxFreeTokens,
       ...(slow && {startInMs: slow.startInMs, expectedMs: slow.expectedMs}),
--- a/packages/core/src/gateway/describe_gateway.ts
+++ b/packages/core/src/gateway/describe_gateway.ts
@@ -1,4 +1,5 @@
 import type {PublishedConfiguration} from '../configuration/published_configuration.js';
+import type {EndpointPauses} from '../endpoint_hints/endpoint_pauses.js';
 import type {EndpointHealth} from '../endpoint_health/endpoint_health.js';
 import type {FleetMembers} from '../fleet/fleet_members.js';
 import type {WorkIndex} from '../fleet/work_index.js';
@@ -15,6 +16,7 @@
   configuration: PublishedConfiguration;
   registry: EndpointRegistry;
   health: EndpointHealth;
+  pauses: EndpointPauses;
   members: FleetMembers;
   workIndex: WorkIndex;
   selection: EndpointSelection;
@@ -71,8 +73,9 @@
   parts: GatewayStatusParts,
   nowMs: number,
 ): EndpointStatus[] {
-  const {registry, health, workIndex, selection} = parts;
-  return registry.entries().map(({id, service, address, failureDomain}) => {
+  const {registry, health, pauses, workIndex, selection} = parts;
+  return registry.entries().map(entry => {
+    const {id, service, address, failureDomain} = entry;
     const {failures, lastFailure, ejectedUntilMs, slowdown} = health.record(id);
     return {
       id,
@@ -81,6 +84,7 @@
       failureDomain,
       standing: registry.get(id)?.state ?? 'gone',
       asideMs: Math.max(0, Math.round(ejectedUntilMs - nowMs)),
+      pausedMs: Math.max(0, Math.round(pauses.endMs(entry) - nowMs)),
       failures,
       lastFailure,
       pace: Math.round(slowdown * 100) / 100,
--- a/packages/core/src/gateway/endpoint_status.ts
+++ b/packages/core/src/gateway/endpoint_status.ts
@@ -8,6 +8,8 @@
   standing: string;
   /** Remaining time for which it is ejected because of failures. */
   asideMs: number;
+  /** Remaining pause that it asked for. */
+  pausedMs: number;
   /** Failures in a row. */
   failures: number;
   lastFailure: string;
--- a/packages/core/src/gateway/events/gateway_event.ts
+++ b/packages/core/src/gateway/events/gateway_event.ts
@@ -2,6 +2,7 @@
 import type {AttemptFailed} from './attempt_failed.js';
 import type {CallerLeft} from './caller_left.js';
 import type {ConfigurationRead} from './configuration_read.js';
+import type {HintsReceived} from './hints_received.js';
 import type {MemberAnnounced} from './member_announced.js';
 import type {MembersRead} from './members_read.js';
 import type {MemorySettled} from './memory_settled.js';
@@ -22,6 +23,7 @@
   | AttemptFailed
   | CallerLeft
   | ConfigurationRead
+  | HintsReceived
   | MemberAnnounced
   | MembersRead
   | MemorySettled
--- a/packages/core/src/gateway/events/memory_settled.ts
+++ b/packages/core/src/gateway/events/memory_settled.ts
@@ -1,9 +1,8 @@
-import type {MemoryAnswer} from '../../tickets/memory_answer.js';
+import type {MemoryOrderResult} from '../../tickets/memory_order_result.js';
 
 /** An engine answered, or failed to answer, an order about its memory. */
-export interface MemorySettled {
+export interface MemorySettled extends MemoryOrderResult {
   kind: 'memory_settled';
   ticket: string;
   endpoint: string;
-  answer: MemoryAnswer;
 }
--- a/packages/core/src/gateway/gateway_node.ts
+++ b/packages/core/src/gateway/gateway_node.ts
@@ -1,5 +1,7 @@
 import {createPublishedConfiguration} from '../configuration/published_configuration.js';
 import {createDrain} from '../drain/drain.js';
+import {createEndpointPauses} from '../endpoint_hints/endpoint_pauses.js';
+import {createHintHandler} from '../endpoint_hints/hint_handler.js';
 import {createEndpointHealth} from '../endpoint_health/endpoint_health.js';
 import {isLargeFleet} from '../fleet/choose_relay.js';
 import {createFleetGossip} from '../fleet/fleet_gossip.js';
@@ -36,6 +38,7 @@
   const configuration = createPublishedConfiguration();
   const registry = createEndpointRegistry();
   const health = createEndpointHealth();
+  const pauses = createEndpointPauses();
   const members = createFleetMembers(cfg.address);
   const workIndex = createWorkIndex();
 
@@ -67,10 +70,17 @@
     configuration,
     registry,
     health,
+    pauses,
     workIndex,
     largeFleet: () => isLargeFleet(members.knownCount()),
     newlyStarted: startTime.newlyStarted,
   });
+  const hints = createHintHandler({
+    registry,
+    pauses,
+    members,
+    endpointsChanged: keepEndpoints,
+  });
   const retryBudget = createRetryBudget(() => ({
     ratio: settings.retryRatio,
     extra: settings.retryExtra,
@@ -83,6 +93,8 @@
     selection,
     health,
     members,
+    hints,
+    pauses,
     gossip,
     retryBudget,
     findEndpointId: name =>
@@ -105,7 +117,9 @@
 
   function keepEndpoints(ctx: GatewayContext): void {
     const endpoints = registry.entries().map(({id}) => id);
-    health.retain(new Set(endpoints));
+    const retained = new Set(endpoints);
+    health.retain(retained);
+    pauses.retain(retained);
     ctx.emit({kind: 'keep_endpoints', endpoints});
   }
 
@@ -133,6 +147,7 @@
     startTime,
     store,
     gossip,
+    hints,
     forwarding,
     shutdown,
     createGatewayReadiness(store, drain),
@@ -147,6 +162,7 @@
           configuration,
           registry,
           health,
+          pauses,
           members,
           workIndex,
           selection,
--- a/packages/core/src/mocks/model_endpoints.ts
+++ b/packages/core/src/mocks/model_endpoints.ts
@@ -1,3 +1,4 @@
+import {NO_HINTS} from '../endpoint_hints/endpoint_hints.js';
 import type {AttemptFailure} from '../types/attempt_failure.js';
 import type {GatewayAction} from '../gateway/actions/gateway_action.js';
 import type {OrderMemory} from '../gateway/actions/order_memory.js';
@@ -98,7 +99,8 @@
         : 'done';
     // A refused connection is detected at once.
     const atMs = nowMs + (answer === 'unknown' ? 0 : randomBetween(1, 60));
-    const event = {kind: 'memory_settled', ticket, endpoint, answer} as const;
+    const order = {ticket, endpoint, answer, hints: NO_HINTS};
+    const event = {kind: 'memory_settled', ...order} as const;
     pending.push({atMs, event});
   }
 
--- a/packages/core/src/registry/endpoint_registry.ts
+++ b/packages/core/src/registry/endpoint_registry.ts
@@ -11,6 +11,11 @@
   apply(nowMs: number, change: EntryChange): boolean;
   /** Applies a full listing; ids that it does not contain are gone. */
   replaceAll(nowMs: number, changes: EntryChange[]): boolean;
+  /**
+   * Records that one start of an endpoint is leaving, which is final for it.
+   * @returns whether the usable endpoints changed
+   */
+  markLeaving(nowMs: number, id: string, startedAtMs: number): boolean;
   /**
    * The store was unreachable until now and may have dropped live endpoints.
    * Entries that it drops stay usable until the given time.
@@ -66,7 +71,9 @@
     const repeated = entry.sequence === known.entry.sequence;
     if (known.state === 'gone' && repeated) return false;
     const before = known.state;
-    const leaving = before === 'leaving' || entry.state === 'leaving';
+    // Also if it was removed since: it is the same start of the endpoint.
+    const wasLeaving = known.entry.state === 'leaving';
+    const leaving = wasLeaving || entry.state === 'leaving';
     const moved = known.entry.address !== entry.address;
     known.entry = leaving ? {...entry, state: 'leaving'} : entry;
     known.state = known.entry.state;
@@ -85,6 +92,22 @@
     return !retained;
   }
 
+  function markLeaving(
+    nowMs: number,
+    id: string,
+    startedAtMs: number,
+  ): boolean {
+    const known = byId.get(id);
+    if (known?.entry.startedAtMs !== startedAtMs) return false;
+    if (known.entry.state === 'leaving') return false;
+    known.entry = {...known.entry, state: 'leaving'};
+    if (known.state === 'gone') return false;
+    known.state = 'leaving';
+    known.sinceMs = nowMs;
+    regroup();
+    return true;
+  }
+
   function markUnreadable(id: string): boolean {
     const known = byId.get(id);
     if (known?.state !== 'ready' && known?.state !== 'missing') {
@@ -123,6 +146,7 @@
   return {
     apply,
     replaceAll,
+    markLeaving,
     retainMissingUntil: untilMs => {
       retainMissingUntilMs = untilMs;
     },
--- a/packages/core/src/shared/gateway_log_events.ts
+++ b/packages/core/src/shared/gateway_log_events.ts
@@ -31,6 +31,18 @@
     action:
       'Check the endpoint if it repeats; it is tried again after pauseMs.',
   },
+  WL8202: {
+    level: 'info',
+    text: 'endpoint is leaving',
+    action:
+      'None; shows whether its own answer or a peer said so. It gets no new work.',
+  },
+  WL8203: {
+    level: 'info',
+    text: 'endpoint asked for a pause',
+    action:
+      'If it repeats, the endpoint is overloaded: start further endpoints.',
+  },
   WL8301: {
     level: 'info',
     text: 'request routed',
--- a/packages/core/src/spread/endpoint_selection.ts
+++ b/packages/core/src/spread/endpoint_selection.ts
@@ -1,5 +1,6 @@
 import type {PublishedConfiguration} from '../configuration/published_configuration.js';
 import type {ServiceSpec} from '../configuration/service_spec.js';
+import type {EndpointPauses} from '../endpoint_hints/endpoint_pauses.js';
 import type {EndpointHealth} from '../endpoint_health/endpoint_health.js';
 import {estimateLoad, STRICT_GAP_MS} from '../engine_model/estimate_load.js';
 import {prefillPartMs} from '../engine_model/prefill_cost.js';
@@ -28,6 +29,11 @@
   ): EndpointChoice | undefined;
   /** Describes the endpoints of a service where `select` found none. */
   pool(nowMs: number, service: string): PoolReport;
+  /**
+   * Time at which the first endpoint of a service wants requests again;
+   * undefined if one wants them now, or if there is none at all.
+   */
+  pausedUntilMs(nowMs: number, service: string): number | undefined;
   /** Whether all endpoints of a choice may still take work. */
   isUsable(nowMs: number, service: string, choice: EndpointChoice): boolean;
   /**
@@ -53,6 +59,7 @@
   configuration: PublishedConfiguration;
   registry: EndpointRegistry;
   health: EndpointHealth;
+  pauses: EndpointPauses;
   workIndex: WorkIndex;
   /** See `ChoiceConditions`. */
   largeFleet(): boolean;
@@ -64,7 +71,7 @@
 export function createEndpointSelection(
   parts: EndpointSelectionParts,
 ): EndpointSelection {
-  const {configuration, registry, health, workIndex} = parts;
+  const {configuration, registry, health, pauses, workIndex} = parts;
   const leastWork = new LeastWork(parts.failureDomain);
   const choosers = new Map<ServiceSpec, EndpointChooser>();
 
@@ -122,6 +129,20 @@
     return Math.max(...backlogs);
   }
 
+  /** Endpoints that may take work and did not ask for a pause. */
+  function available(nowMs: number, service: string): EndpointEntry[] {
+    return registry
+      .usable(service)
+      .filter(entry => !pauses.isPaused(entry, nowMs));
+  }
+
+  function pausedUntilMs(nowMs: number, service: string): number | undefined {
+    const ends = registry.usable(service).map(pauses.endMs);
+    if (ends.length === 0 || ends.some(endMs => endMs <= nowMs))
+      return undefined;
+    return Math.min(...ends);
+  }
+
   function pool(nowMs: number, service: string): PoolReport {
     const spec = configuration.service(service);
     const usable = registry.usable(service);
@@ -132,6 +153,7 @@
     return {
       registered: usable.length,
       healthy: usable.filter(({id}) => !health.isEjected(id, nowMs)).length,
+      paused: usable.filter(entry => pauses.isPaused(entry, nowMs)).length,
       freeTokens: free.reduce((sum, tokens) => sum + tokens, 0),
       maxFreeTokens: Math.max(0, ...free),
     };
@@ -139,8 +161,9 @@
 
   return {
     pool,
+    pausedUntilMs,
     isUsable: (nowMs, service, {main, helpers}) => {
-      const ids = new Set(registry.usable(service).map(({id}) => id));
+      const ids = new Set(available(nowMs, service).map(({id}) => id));
       return [main, ...helpers].every(
         ({id}) => ids.has(id) && !health.isEjected(id, nowMs),
       );
@@ -149,7 +172,7 @@
     activePrefillMs,
     select: (nowMs, service, req, avoid, random) => {
       const spec = configuration.service(service);
-      const usable = registry.usable(service);
+      const usable = available(nowMs, service);
       const healthy = usable.filter(({id}) => !health.isEjected(id, nowMs));
       // A retried request is not used to probe an endpoint that has failed.
       const withoutFailures =
--- a/packages/core/src/spread/pool_report.ts
+++ b/packages/core/src/spread/pool_report.ts
@@ -4,6 +4,8 @@
   registered: number;
   /** Those that are not ejected. */
   healthy: number;
+  /** Those that asked this gateway for a pause. */
+  paused: number;
   /** Free memory of all engines together, in tokens. */
   freeTokens: number;
   /** Largest free memory of a single engine, in tokens. */
--- a/packages/core/src/tickets/engine_reservation.ts
+++ b/packages/core/src/tickets/engine_reservation.ts
@@ -8,4 +8,6 @@
   state: 'pending' | 'confirmed';
   /** Steady clock; time of the newest order. */
   orderedMs: number;
+  /** Steady clock; the engine frees the memory then, if not renewed. */
+  heldUntilMs: number;
 }
--- a/packages/core/src/tickets/memory_reservations.test.ts
+++ b/packages/core/src/tickets/memory_reservations.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {NO_HINTS} from '../endpoint_hints/endpoint_hints.js';
 import type {GatewayAction} from '../gateway/actions/gateway_action.js';
 import type {OrderMemory} from '../gateway/actions/order_memory.js';
 import {
@@ -40,7 +41,8 @@
   answer: MemoryAnswer = 'done',
 ): GatewayAction[] {
   const {ticket, endpoint} = order;
-  return gateway.step({kind: 'memory_settled', ticket, endpoint, answer}, 5);
+  const settled = {ticket, endpoint, answer, hints: NO_HINTS};
+  return gateway.step({kind: 'memory_settled', ...settled}, 5);
 }
 
 /** Starts a large request with memory reserved on all its engines. */
--- a/packages/core/src/tickets/memory_reservations.ts
+++ b/packages/core/src/tickets/memory_reservations.ts
@@ -1,6 +1,8 @@
+import type {EndpointHints} from '../endpoint_hints/endpoint_hints.js';
 import type {MemorySettled} from '../gateway/events/memory_settled.js';
 import type {GatewayContext} from '../gateway/gateway_context.js';
 import type {GatewayFeature} from '../gateway/gateway_feature.js';
+import type {EndpointEntry} from '../registry/endpoint_entry.js';
 import type {EndpointChoice} from '../spread/endpoint_choice.js';
 import type {MemoryOrder} from './memory_order.js';
 import type {EngineReservation} from './engine_reservation.js';
@@ -13,6 +15,8 @@
 const HOLD_MS = 3_500;
 /** Interval of the renewals of a reservation. */
 const RENEW_INTERVAL_MS = 1_200;
+/** Longest hold, for memory on an engine that wants no orders for a while. */
+const MAX_HOLD_MS = 10_000;
 /** An order without an answer is sent again after this time. */
 const RETRY_INTERVAL_MS = 500;
 
@@ -29,6 +33,14 @@
   /** Peer address of this gateway; makes ids unique. */
   self: string;
   incarnation: number;
+  /** Steady clock; end of the pause that an engine asked for. */
+  pauseEndMs(engine: EndpointEntry): number;
+  /** An engine's answer says something about the engine. */
+  onHints(
+    ctx: GatewayContext,
+    engine: EndpointEntry,
+    hints: EndpointHints,
+  ): void;
   /** All engines have confirmed: the attempt may start. */
   onReserved(
     ctx: GatewayContext,
@@ -70,6 +82,7 @@
         tokens: choice.helperTokens,
         state: 'pending',
         orderedMs: ctx.nowMs,
+        heldUntilMs: ctx.nowMs,
       };
       reservation.engines.set(engine.id, part);
       order(ctx, reservation, part, 'reserve');
@@ -82,7 +95,9 @@
     part: EngineReservation,
     kind: MemoryOrder,
   ): void {
+    const holdMs = holdFor(ctx.nowMs, part);
     part.orderedMs = ctx.nowMs;
+    part.heldUntilMs = ctx.nowMs + holdMs;
     ctx.emit({
       kind: 'order_memory',
       ticket: reservation.ticket,
@@ -90,16 +105,23 @@
       address: part.engine.address,
       order: kind,
       tokens: part.tokens,
-      holdMs: HOLD_MS,
+      holdMs,
     });
   }
 
+  /** A longer hold outlasts a pause, in which the engine gets no renewals. */
+  function holdFor(nowMs: number, {engine}: EngineReservation): number {
+    const pauseMs = parts.pauseEndMs(engine) - nowMs;
+    return pauseMs <= 0 ? HOLD_MS : Math.min(MAX_HOLD_MS, pauseMs + HOLD_MS);
+  }
+
   function onSettled(ctx: GatewayContext, event: MemorySettled): void {
     const reservation = [...reservations.values()].find(
       ({ticket}) => ticket === event.ticket,
     );
     const part = reservation?.engines.get(event.endpoint);
     if (!reservation || !part) return;
+    parts.onHints(ctx, part.engine, event.hints);
     if (event.answer === 'done') {
       if (part.state === 'confirmed') return;
       part.state = 'confirmed';
@@ -142,13 +164,20 @@
     ctx.emit({kind: 'write_log', event: 'WL8401', fields});
   }
 
+  function isOrderDue(nowMs: number, part: EngineReservation): boolean {
+    const sinceMs = nowMs - part.orderedMs;
+    if (part.state === 'pending') return sinceMs >= RETRY_INTERVAL_MS;
+    const paused = parts.pauseEndMs(part.engine) > nowMs;
+    if (!paused) return sinceMs >= RENEW_INTERVAL_MS;
+    const neededMs = Math.min(parts.pauseEndMs(part.engine), nowMs + HOLD_MS);
+    return part.heldUntilMs < neededMs;
+  }
+
   function expire(ctx: GatewayContext): void {
     for (const reservation of reservations.values()) {
       for (const part of reservation.engines.values()) {
-        const pauseMs =
-          part.state === 'confirmed' ? RENEW_INTERVAL_MS : RETRY_INTERVAL_MS;
-        if (ctx.nowMs - part.orderedMs < pauseMs) continue;
-        order(ctx, reservation, part, 'reserve');
+        if (isOrderDue(ctx.nowMs, part))
+          order(ctx, reservation, part, 'reserve');
       }
     }
   }
--- a/packages/gateway/src/endpoints/attempt_handler.ts
+++ b/packages/gateway/src/endpoints/attempt_handler.ts
@@ -1,4 +1,5 @@
 import type {Dispatcher} from 'undici';
+import {hasHints} from '@wisterialadder/core/endpoint_hints/endpoint_hints.js';
 import type {StartAttempt} from '@wisterialadder/core/gateway/actions/start_attempt.js';
 import type {AttemptFailure} from '@wisterialadder/core/types/attempt_failure.js';
 import type {ReceivedAnswer} from '../callers/open_request.js';
@@ -68,6 +69,10 @@
     // earlier request.
     const mismatched = !echoed && (verdict === 'answer' || lease.reused);
     if (mismatched) return fail('broken', 'answer of another request');
+    // The answer of another instance says nothing about the endpoint.
+    if (verdict !== 'wrong_instance' && hasHints(answer.hints)) {
+      sink.hinted(answer.hints);
+    }
     if (verdict !== 'answer') return;
     answer.head.streamed &&= action.streamed;
     if (!answer.head.streamed) return;
--- a/packages/gateway/src/endpoints/attempt_runner.ts
+++ b/packages/gateway/src/endpoints/attempt_runner.ts
@@ -80,6 +80,7 @@
   function sinkFor({reqId, attempt}: StartAttempt): AttemptSink {
     const {push} = parts;
     return {
+      hinted: hints => push({kind: 'hints_received', reqId, attempt, hints}),
       streamStarted: () => push({kind: 'stream_started', reqId, attempt}),
       piece: (piece, payload) =>
         push({kind: 'piece_received', reqId, attempt, piece, payload}),
--- a/packages/gateway/src/endpoints/attempt_sink.ts
+++ b/packages/gateway/src/endpoints/attempt_sink.ts
@@ -1,7 +1,10 @@
+import type {EndpointHints} from '@wisterialadder/core/endpoint_hints/endpoint_hints.js';
 import type {AttemptFailure} from '@wisterialadder/core/types/attempt_failure.js';
 
 /** Receives the progress and the result of an attempt. */
 export interface AttemptSink {
+  /** The head of the answer says something about its endpoint. */
+  hinted(hints: EndpointHints): void;
   streamStarted(): void;
   piece(id: number, payload: Uint8Array): void;
   streamEnded(): void;
--- a/packages/gateway/src/endpoints/parsed_answer.ts
+++ b/packages/gateway/src/endpoints/parsed_answer.ts
@@ -1,3 +1,4 @@
+import type {EndpointHints} from '@wisterialadder/core/endpoint_hints/endpoint_hints.js';
 import type {AnswerHead} from './answer_head.js';
 import type {AnswerVerdict} from './answer_verdict.js';
 
@@ -11,4 +12,5 @@
   keepAliveMs: number | undefined;
   /** Endpoint that the answer names as the cause of a failure; else empty. */
   atFault: string;
+  hints: EndpointHints;
 }
--- a/packages/gateway/src/gateway_program.ts
+++ b/packages/gateway/src/gateway_program.ts
@@ -129,8 +129,8 @@
       metrics.observe(metric, labels, value),
     order_memory: action => {
       const {ticket, endpoint} = action;
-      void ports.memory.order(action).then(answer => {
-        push({kind: 'memory_settled', ticket, endpoint, answer});
+      void ports.memory.order(action).then(result => {
+        push({kind: 'memory_settled', ticket, endpoint, ...result});
       });
     },
     read_store: storeAdapter.read,
--- a/packages/gateway/src/mocks/fake_endpoint_codec.ts
+++ b/packages/gateway/src/mocks/fake_endpoint_codec.ts
@@ -2,7 +2,10 @@
 import {EndpointCodec} from '../endpoints/endpoint_codec.js';
 import type {ParsedAnswer} from '../endpoints/parsed_answer.js';
 
-/** A codec for tests: answers echo `req-id`; `not-run` refuses the attempt. */
+/**
+ * A codec for tests: answers echo `req-id`; `not-run` refuses the attempt;
+ * `leaving` and `pause-ms` are hints.
+ */
 export class FakeEndpointCodec extends EndpointCodec {
   override headers(action: StartAttempt): string[] {
     return ['req-id', action.reqId];
@@ -23,6 +26,14 @@
       },
       keepAliveMs: 60_000,
       atFault: '',
+      hints: {
+        leaving: headers['leaving'] !== undefined,
+        pauseMs: pauseMs(headers['pause-ms']),
+      },
     };
   }
 }
+
+function pauseMs(header: string | string[] | undefined): number | undefined {
+  return header === undefined ? undefined : Number(header);
+}
--- a/packages/gateway/src/peers/datagram_codec.test.ts
+++ b/packages/gateway/src/peers/datagram_codec.test.ts
@@ -92,6 +92,11 @@
     endpoint: fc.string(),
     pauseMs: COUNT,
   }),
+  fc.record({
+    kind: fc.constant('endpoint_leaving' as const),
+    endpoint: fc.string(),
+    startedAtMs: OFFSET,
+  }),
   fc.record({
     kind: fc.constant('store_news' as const),
     configurationOffset: OFFSET,
--- a/packages/gateway/src/peers/datagram_codec.ts
+++ b/packages/gateway/src/peers/datagram_codec.ts
@@ -47,6 +47,11 @@
       const {endpoint, pauseMs} = message;
       return {case: 'endpointDoubt', value: {endpoint, pauseMs}};
     }
+    case 'endpoint_leaving': {
+      const {endpoint, startedAtMs} = message;
+      const value = {endpoint, startedAtMs: BigInt(startedAtMs)};
+      return {case: 'endpointLeaving', value};
+    }
   }
 }
 
@@ -167,6 +172,12 @@
       };
     case 'endpointDoubt':
       return {kind: 'endpoint_doubt', ...message.value};
+    case 'endpointLeaving':
+      return {
+        kind: 'endpoint_leaving',
+        endpoint: message.value.endpoint,
+        startedAtMs: Number(message.value.startedAtMs),
+      };
     default:
       return undefined;
   }
--- a/scripts/process_tests/gateway.test.mjs
+++ b/scripts/process_tests/gateway.test.mjs
@@ -117,6 +117,45 @@
   assert.equal(leaving.runs.length, before);
 });
 
+/** The plain service that the gateway calls while all are idle. */
+async function preferredService({platform, send}, gateway) {
+  assertComplete(await send(gateway, CALL));
+  return platform.services.find(({arrivals}) => arrivals.length > 0);
+}
+
+test('an endpoint that says it is leaving gets nothing new while the store is silent', async t => {
+  const fleet = await fleetFor(t);
+  const {gateways, platform, send} = fleet;
+  const leaving = await preferredService(fleet, gateways[0]);
+  leaving.leaveUnregistered();
+  platform.store.faults.mode = 'silent';
+  assertComplete(await send(gateways[0], CALL));
+  // The other gateway is told of it by a peer.
+  await sleep(200);
+  const before = leaving.arrivals.length;
+  const answers = await Promise.all(
+    Array.from({length: 24}, (_, i) => send(gateways[i % 2], CALL)),
+  );
+  answers.forEach(assertComplete);
+  assert.equal(leaving.arrivals.length, before);
+});
+
+test('an endpoint gets nothing for the time that its refusal asks for', async t => {
+  const fleet = await fleetFor(t, {gateways: 1});
+  const {gateways, send} = fleet;
+  const busy = await preferredService(fleet, gateways[0]);
+  Object.assign(busy.faults, {busy: 1, retryAfter: '2.5'});
+  const startedMs = performance.now();
+  while (performance.now() - startedMs < 2_000) {
+    assertComplete(await send(gateways[0], CALL));
+  }
+  assert.equal(busy.arrivals.length, 2);
+  busy.faults.busy = 0;
+  await sleep(700);
+  assertComplete(await send(gateways[0], CALL));
+  assert.equal(busy.arrivals.length, 3);
+});
+
 test('a new configuration takes effect on every gateway', async t => {
   const {gateways, platform, send} = await fleetFor(t);
   platform.publish({tenants: [{name: 'clerks', apiKeys: ['key-2']}]});
