--- a/packages/core/src/forwarding/attempt_answers.ts
+++ b/packages/core/src/forwarding/attempt_answers.ts
@@ -158,7 +158,7 @@
     const failedId = parts.findEndpointId(event.atFault);
     if (failedId !== undefined && failedId !== current.choice.main.id) {
       req.failedEndpoints.add(failedId);
-      health.recordFailure(ctx, failedId, 'named by another endpoint');
+      failures.endpointUnreachable(ctx, failedId, 'named by another endpoint');
     }
     failures.attemptFailed(ctx, req, current, event.failure, event.detail);
   }
--- a/packages/core/src/forwarding/attempt_failures.ts
+++ b/packages/core/src/forwarding/attempt_failures.ts
@@ -23,6 +23,12 @@
     failure: AttemptFailure,
     detail: string,
   ): void;
+  /** Sets an endpoint aside that cannot be reached, and tells peers. */
+  endpointUnreachable(
+    ctx: GatewayContext,
+    endpoint: string,
+    reason: string,
+  ): void;
   /** Takes one retry from the budget if the request may be sent again. */
   tryTakeRetry(
     ctx: GatewayContext,
@@ -65,7 +71,11 @@
     gossip.workEnded(current.work);
     reservations.release(ctx, req.reqId);
     req.current = undefined;
-    if (failure !== 'said_not_run') reportFailure(ctx, main.id, failure);
+    if (failure === 'connect_failed') {
+      endpointUnreachable(ctx, main.id, failure);
+    } else if (failure !== 'said_not_run' && failure !== 'rejected') {
+      health.recordFailure(ctx, main.id, failure);
+    }
     ctx.emit({
       kind: 'write_log',
       event: 'WL8303',
@@ -79,17 +89,17 @@
         afterMs: Math.round(ctx.nowMs - current.startedMs),
       },
     });
+    if (failure === 'rejected') return end.fail(ctx, req, 'bad_request');
     if (tryTakeRetry(ctx, req, failure)) return dispatcher.dispatch(ctx, req);
     end.failUnserved(ctx, req);
   }
 
-  function reportFailure(
+  function endpointUnreachable(
     ctx: GatewayContext,
     endpoint: string,
-    failure: AttemptFailure,
+    reason: string,
   ): void {
-    const pauseMs = health.recordFailure(ctx, endpoint, failure);
-    if (failure !== 'connect_failed') return;
+    const pauseMs = health.recordFailure(ctx, endpoint, reason);
     const to = members.aliveAddresses(ctx.nowMs);
     if (to.length === 0) return;
     const message = {kind: 'endpoint_doubt', endpoint, pauseMs} as const;
@@ -136,5 +146,5 @@
     attemptFailed(ctx, req, current, 'broken', 'silent');
   }
 
-  return {attemptFailed, tryTakeRetry, checkStalled};
+  return {attemptFailed, endpointUnreachable, tryTakeRetry, checkStalled};
 }
--- a/packages/core/src/forwarding/forwarding.test.ts
+++ b/packages/core/src/forwarding/forwarding.test.ts
@@ -20,6 +20,18 @@
   assert.equal(refusal(actions), 'broken');
 });
 
+test('a request that cannot be sent is refused and no endpoint is blamed', () => {
+  const gateway = readyGateway();
+  gateway.step(requestArrived());
+  const actions = gateway.step(attemptFailed('rejected'));
+  assert.equal(refusal(actions), 'bad_request');
+  assert.deepEqual(kinds(actions, 'start_attempt', 'send_peers'), []);
+  const lines = actions.flatMap(action =>
+    action.kind === 'write_log' ? [action.event] : [],
+  );
+  assert.ok(!lines.includes('WL8201'));
+});
+
 test('a write is retried elsewhere if the endpoint said it was not run', () => {
   const gateway = readyGateway();
   const first = started(gateway.step(callArrived('/write/1')));
--- a/packages/core/src/mocks/gateway_harness.ts
+++ b/packages/core/src/mocks/gateway_harness.ts
@@ -7,6 +7,7 @@
 import {createGatewayNode} from '../gateway/gateway_node.js';
 import type {EndpointEntry} from '../registry/endpoint_entry.js';
 import type {EntryChange} from '../registry/entry_change.js';
+import type {AttemptFailure} from '../types/attempt_failure.js';
 import {configuration, endpointEntry, gatewayConfig} from './gateway_parts.js';
 import {createStepHarness, type StepHarness} from './step_harness.js';
 
@@ -51,7 +52,8 @@
   current: Configuration | undefined,
   nextOffset = 1,
 ): GatewayEvent {
-  return {kind: 'configuration_read', nextOffset, configuration: current};
+  const kind = 'configuration_read';
+  return {kind, nextOffset, configuration: current, unreadable: false};
 }
 
 /** A listing of the store's registry. */
@@ -120,7 +122,7 @@
 
 /** The failure of an attempt of `r1`. */
 export function attemptFailed(
-  failure: 'broken' | 'connect_failed' | 'said_not_run',
+  failure: AttemptFailure,
   attempt = 1,
 ): GatewayEvent {
   const detail = '';
