Leave odd records out and follow all others

Cause: another client of the store may write anything between the records of endpoints, gateways and the configuration. An entry with 2^40 slots, a negative warm-up or a negative sequence was taken over, and then no datagram about it could be encoded: the gateway that reads for the fleet told nobody anything more. Port 70000 or 10.1.0.256 made each attempt fail before it had a result, so its request hung until its deadline; an announcement with such an address kept all members behind it from hearing this gateway. A malformed configuration counted as an unreachable store.

Change: records are checked against bounds where they are decoded. An odd one is left out and logged once (WL8004, at most 1,000 names); the offset moves past it. Datagrams drop members and entries without a usable address and numbers past 2^53; calls between gateways are checked by a schema. A connection that cannot be opened is a failed connect, and a message that cannot be sent to one peer is sent to the others all the same.

Ruled out: deep nesting. JSON.parse of 100,000 levels neither throws nor ends the process.

--- a/packages/core/src/gateway/events/configuration_read.ts
+++ b/packages/core/src/gateway/events/configuration_read.ts
@@ -7,4 +7,6 @@
   nextOffset: number;
   /** Undefined if there was no newer version. */
   configuration: Configuration | undefined;
+  /** Whether a newer record was left out because it is malformed. */
+  unreadable: boolean;
 }
--- a/packages/core/src/shared/gateway_log_events.ts
+++ b/packages/core/src/shared/gateway_log_events.ts
@@ -15,6 +15,11 @@
     text: 'endpoint registration changed',
     action: 'None; shows the state that the endpoint registered.',
   },
+  WL8004: {
+    level: 'warn',
+    text: 'unreadable record in the store ignored',
+    action: 'Find out who writes malformed records; all others are followed.',
+  },
   WL8101: {
     level: 'info',
     text: 'first heartbeat of a gateway received',
--- a/packages/core/src/store_watch/store_watch.test.ts
+++ b/packages/core/src/store_watch/store_watch.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import type {EntryChange} from '../registry/entry_change.js';
 import type {GatewayAction} from '../gateway/actions/gateway_action.js';
 import type {ReadStore} from '../gateway/actions/read_store.js';
 import type {GatewayEvent} from '../gateway/events/gateway_event.js';
@@ -208,3 +209,68 @@
   );
   assert.deepEqual(changes, ['e1']);
 });
+
+/** Records that were reported as unreadable. */
+function reported(actions: GatewayAction[]): unknown[] {
+  return actions.flatMap(action =>
+    action.kind === 'write_log' && action.event === 'WL8004'
+      ? [action.fields['record']]
+      : [],
+  );
+}
+
+/** One read of new registry records. */
+function registryAppended(
+  fromOffset: number,
+  changes: EntryChange[],
+): GatewayEvent {
+  const nextOffset = fromOffset + changes.length;
+  const kind = 'registry_read';
+  return {kind, listing: false, fromOffset, nextOffset, changes};
+}
+
+test('an unreadable entry is left out, logged once, and all others followed', () => {
+  const gateway = readyGateway({entries: []});
+  const odd = {id: 'odd', entry: undefined, unreadable: true};
+  const added = entryChange(endpointEntry({id: 'e7'}));
+  const first = gateway.step(registryAppended(10, [odd, added, odd]));
+  assert.deepEqual(reported(first), ['odd']);
+  const again = gateway.step(registryAppended(13, [odd]));
+  assert.deepEqual(reported(again), []);
+  assert.equal(started(gateway.step(requestArrived()))?.endpoint, 'e7');
+  const [next] = reads(gateway.step({kind: 'tick'}, 600));
+  assert.equal(next?.fromOffset, 14);
+});
+
+test('the names of unreadable entries take bounded memory and log space', () => {
+  const gateway = readyGateway();
+  const odd = Array.from({length: 5_000}, (_, i) => ({
+    id: `${i}`.padEnd(255, 'x'),
+    entry: undefined,
+    unreadable: true,
+  }));
+  const lines = reported(gateway.step(registryAppended(10, odd)));
+  assert.equal(lines.length, 1_000);
+  assert.ok(lines.every(record => String(record).length <= 64));
+});
+
+test('an unreadable configuration keeps the one in force, and reading goes on', () => {
+  const gateway = readyGateway();
+  const skipped = {...configurationRead(undefined, 5), unreadable: true};
+  const actions = gateway.step(skipped as GatewayEvent);
+  assert.deepEqual(reported(actions), ['configuration']);
+  assert.deepEqual(reported(gateway.step(skipped as GatewayEvent)), []);
+  assert.ok(started(gateway.step(requestArrived())));
+  const next = configuration({version: 9, routes: []});
+  gateway.step(configurationRead(next, 6));
+  const late = gateway.step(requestArrived({reqId: 'r2'}));
+  assert.equal(refusal(late), 'unknown_route');
+});
+
+test('a gateway whose first configuration is unreadable asks a peer', () => {
+  const gateway = startedGateway();
+  gateway.step(fromPeer(readerHeartbeat()));
+  const skipped = {...configurationRead(undefined, 5), unreadable: true};
+  const actions = gateway.step(skipped as GatewayEvent);
+  assert.ok(messages(actions).includes('state_pull'));
+});
--- a/packages/core/src/store_watch/store_watch.ts
+++ b/packages/core/src/store_watch/store_watch.ts
@@ -14,6 +14,7 @@
 import {logEntryChanges} from './log_entry_changes.js';
 import {createStateCopies} from './state_copies.js';
 import {createStoreReader} from './store_reader.js';
+import {createUnreadableRecords} from './unreadable_records.js';
 import {createStoreReachability} from './store_reachability.js';
 import type {StorePosition} from './store_position.js';
 import {ageOf, createStorePositions} from './store_positions.js';
@@ -56,6 +57,7 @@
     reachability,
   });
   const recent = createRecentChanges();
+  const unreadable = createUnreadableRecords();
   const copies = createStateCopies({...parts, positions});
   const gossip = createStoreGossip({
     ...parts,
@@ -120,10 +122,13 @@
     const advanced = event.nextOffset > (position.next ?? 0);
     position.next = Math.max(position.next ?? 0, event.nextOffset);
     position.mustList = false;
+    if (event.unreadable)
+      unreadable.configurationSkipped(ctx, event.nextOffset);
     const {configuration: next} = event;
     if (next && adoptConfiguration(ctx, configuration, next, 'store')) {
       parts.configurationChanged(ctx);
     }
+    if (!loaded()) copies.pullFromAny(ctx);
     if (advanced || positions.registry.readSentMs === undefined) broadcast(ctx);
   }
 
@@ -131,6 +136,7 @@
     const position = positions.registry;
     const readFrom = position.next;
     answered(ctx, position);
+    unreadable.entriesRead(ctx, event.changes);
     // A late answer may be older than what peers have sent since.
     const outdated = event.nextOffset < (position.next ?? 0);
     if (event.listing && !outdated) {
--- a/packages/gateway/src/endpoints/attempt_runner.test.ts
+++ b/packages/gateway/src/endpoints/attempt_runner.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import type {Socket} from 'node:net';
 import {test, type TestContext} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
   createAttemptHarness,
   attemptAction,
@@ -35,6 +36,10 @@
   return `${text.length.toString(16)}\r\n${text}\r\n`;
 }
 
+function notFound(id: string): string {
+  return `HTTP/1.1 404 No\r\nreq-id: ${id}\r\ncontent-length: 0\r\n\r\n`;
+}
+
 function start({runner, endpoint}: Fixture, reqId = 'r1'): void {
   runner.start(attemptAction({address: endpoint.address, reqId}));
 }
@@ -177,3 +182,27 @@
   await harness.nextEnd();
   assert.deepEqual(outcomes(harness), ['broken']);
 });
+
+test('an address that cannot be connected to fails and takes no connection', async t => {
+  const harness = await fixture(t, socket => socket.write(notFound('r1')));
+  for (const address of ['10.0.0.1:70000', '10.0.0.999:1', 'no where', '']) {
+    harness.runner.start(attemptAction({address, maxConnections: 1}));
+  }
+  harness.runner.start(
+    attemptAction({address: harness.endpoint.address, maxConnections: 1}),
+  );
+  await harness.nextEnd();
+  assert.deepEqual(outcomes(harness), [
+    ...Array<string>(4).fill('connect_failed'),
+    'answer_received',
+  ]);
+});
+
+test('a request that cannot be encoded is rejected, not a failed connect', async t => {
+  const harness = await fixture(t, () => undefined);
+  harness.open.get('r1')!.head.target = '/\u{1f600}';
+  start(harness);
+  await sleep(20);
+  assert.deepEqual(outcomes(harness), ['rejected']);
+  assert.equal(harness.endpoint.connections(), 0);
+});
--- a/packages/gateway/src/endpoints/attempt_runner.ts
+++ b/packages/gateway/src/endpoints/attempt_runner.ts
@@ -4,10 +4,11 @@
 import type {GatewayEvent} from '@wisterialadder/core/gateway/events/gateway_event.js';
 import type {AttemptFailure} from '@wisterialadder/core/types/attempt_failure.js';
 import type {Disposable} from '@wisterialadder/runtime/lifecycle/disposable.js';
+import type {OpenRequest} from '../callers/open_request.js';
 import type {OpenRequests} from '../callers/open_requests.js';
 import {createAttemptHandler} from './attempt_handler.js';
 import type {AttemptSink} from './attempt_sink.js';
-import {createConnectionPool} from './connection_pool.js';
+import {createConnectionPool, type ConnectionLease} from './connection_pool.js';
 import type {EndpointCodec} from './endpoint_codec.js';
 
 /** Sends attempts to endpoints and reports their results. */
@@ -31,21 +32,40 @@
   const running = new Map<string, () => void>();
 
   function start(action: StartAttempt): void {
-    const {reqId, attempt} = action;
-    const open = parts.open.get(reqId);
+    const open = parts.open.get(action.reqId);
     if (!open) return;
     if (performance.now() >= action.notAfterMs) {
       return reportFailure(action, 'connect_failed', 'too late to send');
     }
-    const lease = pool.acquire(
-      action.endpoint,
-      action.address,
-      action.maxConnections,
-      action.newConnection,
-    );
-    if (!lease) {
-      return reportFailure(action, 'said_not_run', 'no connection left');
+    const lease = acquire(action);
+    if (lease) send(action, open, lease);
+  }
+
+  /** Reports the failure of the attempt if there is no connection for it. */
+  function acquire(action: StartAttempt): ConnectionLease | undefined {
+    const {endpoint, address, maxConnections, newConnection} = action;
+    try {
+      const lease = pool.acquire(
+        endpoint,
+        address,
+        maxConnections,
+        newConnection,
+      );
+      if (!lease) reportFailure(action, 'said_not_run', 'no connection left');
+      return lease;
+    } catch (err) {
+      // For instance an address to which no connection can be opened.
+      reportFailure(action, 'connect_failed', (err as Error).message);
+      return undefined;
     }
+  }
+
+  function send(
+    action: StartAttempt,
+    open: OpenRequest,
+    lease: ConnectionLease,
+  ): void {
+    const {attempt} = action;
     const key = attemptKey(action);
     const handler = createAttemptHandler({
       action,
--- a/packages/gateway/src/endpoints/connection_pool.ts
+++ b/packages/gateway/src/endpoints/connection_pool.ts
@@ -86,13 +86,13 @@
     connections: EndpointPool,
     address: string,
   ): EndpointConnection {
-    connections.open += 1;
     const connection = createEndpointConnection(address, () => {
       connections.open -= 1;
       connections.idle = connections.idle.filter(
         idle => idle.connection !== connection,
       );
     });
+    connections.open += 1;
     return connection;
   }
 
--- a/packages/gateway/src/gateway_program.ts
+++ b/packages/gateway/src/gateway_program.ts
@@ -79,7 +79,7 @@
   );
   store.add(ports.store);
   store.add(ports.memory);
-  const storeAdapter = createStoreAdapter(ports.store, push);
+  const storeAdapter = createStoreAdapter(ports.store, push, onError);
   const attempts = store.add(
     createAttemptRunner({open, codec: ports.endpoints, push}),
   );
--- a/packages/gateway/src/peers/datagram_codec.ts
+++ b/packages/gateway/src/peers/datagram_codec.ts
@@ -9,6 +9,7 @@
 import type {FleetDigest} from '@wisterialadder/core/fleet/messages/fleet_digest.js';
 import type {WorkUpdate} from '@wisterialadder/core/fleet/messages/work_update.js';
 import type {EntryChange} from '@wisterialadder/core/registry/entry_change.js';
+import {isAddress} from '@wisterialadder/runtime/http/is_address.js';
 import {
   DatagramSchema,
   type Datagram,
@@ -129,17 +130,23 @@
 
 /** Decodes a datagram; returns undefined if it is malformed. */
 export function decodeDatagram(bytes: Uint8Array): DecodedDatagram | undefined {
-  let datagram: Datagram;
   try {
-    datagram = fromBinary(DatagramSchema, bytes);
+    const datagram = fromBinary(DatagramSchema, bytes);
+    const message = decodeMessage(datagram);
+    if (!message) return undefined;
+    const {fleet, incarnation} = datagram;
+    return {fleet, incarnation: safeNumber(incarnation), message};
   } catch {
     // Any process can send bytes to the port, so malformed ones are dropped.
     return undefined;
   }
-  const message = decodeMessage(datagram);
-  if (!message) return undefined;
-  const {fleet, incarnation} = datagram;
-  return {fleet, incarnation: Number(incarnation), message};
+}
+
+/** @throws {RangeError} if the value is too large for a whole number */
+function safeNumber(value: bigint): number {
+  const number = Number(value);
+  if (Number.isSafeInteger(number)) return number;
+  throw new RangeError(`${value} is too large`);
 }
 
 function decodeMessage({message}: Datagram): DatagramMessage | undefined {
@@ -152,21 +159,21 @@
       return {
         kind: 'fleet_digest',
         passOn: message.value.passOn,
-        changes: message.value.changes.map(change => ({
+        changes: message.value.changes.filter(hasAddress).map(change => ({
           ...change,
-          incarnation: Number(change.incarnation),
+          incarnation: safeNumber(change.incarnation),
         })),
-        beats: message.value.beats.map(beat => ({
+        beats: message.value.beats.filter(hasAddress).map(beat => ({
           ...beat,
-          incarnation: Number(beat.incarnation),
+          incarnation: safeNumber(beat.incarnation),
         })),
       };
     case 'storeNews':
       return {
         kind: 'store_news',
-        configurationOffset: Number(message.value.configurationOffset),
-        registryOffset: Number(message.value.registryOffset),
-        registryFromOffset: Number(message.value.registryFromOffset),
+        configurationOffset: safeNumber(message.value.configurationOffset),
+        registryOffset: safeNumber(message.value.registryOffset),
+        registryFromOffset: safeNumber(message.value.registryFromOffset),
         changes: message.value.changes.map(decodeEntryChange),
         ageMs: message.value.ageMs,
       };
@@ -176,14 +183,22 @@
       return {
         kind: 'endpoint_leaving',
         endpoint: message.value.endpoint,
-        startedAtMs: Number(message.value.startedAtMs),
+        startedAtMs: safeNumber(message.value.startedAtMs),
       };
     default:
       return undefined;
   }
 }
 
+/** Whether messages can be sent to the member. */
+function hasAddress({member}: {member: string}): boolean {
+  return isAddress(member);
+}
+
 function decodeEntryChange({id, entry, unreadable}: WireChange): EntryChange {
+  if (entry && !isAddress(entry.address)) {
+    return {id, entry: undefined, unreadable: true};
+  }
   if (!entry) return {id, entry: undefined, unreadable};
   return {
     id,
@@ -196,8 +211,8 @@
       slots: entry.slots,
       state: entry.leaving ? 'leaving' : 'ready',
       warmUpMs: entry.warmUpMs,
-      sequence: Number(entry.sequence),
-      startedAtMs: Number(entry.startedAtMs),
+      sequence: safeNumber(entry.sequence),
+      startedAtMs: safeNumber(entry.startedAtMs),
     },
   };
 }
--- a/packages/gateway/src/peers/peer_link.ts
+++ b/packages/gateway/src/peers/peer_link.ts
@@ -1,9 +1,11 @@
 import type {PeerMessage} from '@wisterialadder/core/fleet/messages/peer_message.js';
 import type {SendPeers} from '@wisterialadder/core/gateway/actions/send_peers.js';
 import {hash32} from '@wisterialadder/core/shared/hash32.js';
+import {isAddress} from '@wisterialadder/runtime/http/is_address.js';
 import type {Disposable} from '@wisterialadder/runtime/lifecycle/disposable.js';
 import {startPeerTransport} from '@wisterialadder/runtime/peers/peer_transport.js';
 import {decodeDatagram, encodeDatagram} from './datagram_codec.js';
+import {decodeCall} from './decode_call.js';
 import {openDatagramSocket} from './datagram_socket.js';
 
 /** Sends and receives messages between gateways. */
@@ -33,7 +35,11 @@
     address: parts.address,
     secret,
     incarnation,
-    onMessage: parts.onMessage,
+    onMessage: (from, fromIncarnation, call) => {
+      const message = decodeCall(call);
+      if (message && isAddress(from))
+        parts.onMessage(from, fromIncarnation, message);
+    },
   });
   const socket = await openDatagramSocket(
     transport.address,
@@ -49,11 +55,21 @@
     switch (message.kind) {
       case 'state_pull':
       case 'state_copy':
-        for (const address of to) transport.send(address, message);
-        return;
+        return sendEach(to, address => transport.send(address, message));
       default: {
         const bytes = encodeDatagram(fleet, incarnation, message);
-        for (const address of to) socket.send(address, bytes);
+        return sendEach(to, address => socket.send(address, bytes));
+      }
+    }
+  }
+
+  /** An address that cannot be sent to does not keep others from it. */
+  function sendEach(to: string[], sendTo: (address: string) => void): void {
+    for (const address of to) {
+      try {
+        sendTo(address);
+      } catch (err) {
+        parts.onError(err);
       }
     }
   }
--- a/packages/gateway/src/store/store_adapter.ts
+++ b/packages/gateway/src/store/store_adapter.ts
@@ -3,7 +3,7 @@
 import type {GatewayEvent} from '@wisterialadder/core/gateway/events/gateway_event.js';
 import type {StoreCall} from '@wisterialadder/core/store_watch/store_call.js';
 import type {StoreFailure} from '@wisterialadder/core/store_watch/store_failure.js';
-import type {Result} from '@wisterialadder/core/shared/result.js';
+import {Err, type Result} from '@wisterialadder/core/shared/result.js';
 import type {StoreClient} from './store_client.js';
 
 /** Performs the store actions of the core and reports their results. */
@@ -16,16 +16,29 @@
 export function createStoreAdapter(
   client: StoreClient,
   push: (event: GatewayEvent) => boolean,
+  onError: (err: unknown) => void,
 ): StoreAdapter {
   async function pushResult(
     call: StoreCall,
     result: Promise<Result<GatewayEvent, StoreFailure>>,
   ): Promise<void> {
-    const settled = await result;
+    const settled = await settle(result);
     if (settled.ok) push(settled.val);
     else push({kind: 'store_failed', call, failure: settled.val});
   }
 
+  /** An unexpected error must not leave the core without an answer. */
+  async function settle<T>(
+    result: Promise<Result<T, StoreFailure>>,
+  ): Promise<Result<T, StoreFailure>> {
+    try {
+      return await result;
+    } catch (err) {
+      onError(err);
+      return Err('malformed');
+    }
+  }
+
   function read({call, fromOffset}: ReadStore): void {
     switch (call) {
       case 'configuration':
@@ -40,7 +53,7 @@
   }
 
   async function announce({record}: AnnounceMember): Promise<void> {
-    const result = await client.announce(record);
+    const result = await settle(client.announce(record));
     if (result.ok) push({kind: 'member_announced'});
     else push({kind: 'store_failed', call: 'announce', failure: result.val});
   }
--- a/scripts/fleet/gateway_fleet.mjs
+++ b/scripts/fleet/gateway_fleet.mjs
@@ -13,9 +13,13 @@
 const READY_TIMEOUT_MS = 10_000;
 const KEY = 'key-1';
 
-/** Starts a platform and gateways; every gateway has an address of its own. */
+/**
+ * Starts a platform and gateways; every gateway has an address of its own.
+ * `spare` more have one as well and can be started later.
+ */
 export async function startGatewayFleet({
   gateways: count = 2,
+  spare = 0,
   engines = 4,
   services = 2,
   memoryTokens,
@@ -32,7 +36,7 @@
     memoryTokens,
     front,
   });
-  const ips = Array.from({length: count}, (_, i) => `127.0.0.${i + 2}`);
+  const ips = Array.from({length: count + spare}, (_, i) => `127.0.0.${i + 2}`);
   const port = await freePort(ips);
   const processes = [];
   const seeds = ips.map(ip => `${ip}:1`);
--- a/scripts/process_tests/gateway.test.mjs
+++ b/scripts/process_tests/gateway.test.mjs
@@ -13,6 +13,16 @@
   return fleet;
 }
 
+/** A registration, as far as the platform's engines write it. */
+const ENTRY = {
+  service: 'llm',
+  address: '127.0.0.1:9',
+  zone: 'zone-a',
+  slots: 8,
+  state: 'ready',
+  sequence: 1,
+};
+
 /** Asserts that every piece arrived once, in order, up to the end. */
 function assertComplete(answer) {
   assert.equal(answer.status, 200);
@@ -176,6 +186,43 @@
   assertComplete(await send(restarted));
 });
 
+test('odd records of other writers neither end a gateway nor stop it from following', async t => {
+  const fleet = await fleetFor(t, {spare: 1});
+  const {gateways, platform, send, start, ready} = fleet;
+  const {log} = platform.store;
+  const deep = '['.repeat(100_000);
+  const entry = over => JSON.stringify({...ENTRY, ...over});
+  const odd = [
+    deep,
+    entry({address: '10.1.0.1:70000'}),
+    entry({address: '10.1.0.1:0'}),
+    entry({slots: 2 ** 40}),
+    entry({coldRemainingMs: -1}),
+    entry({service: 'x'.repeat(200_000)}),
+  ];
+  odd.forEach((value, i) => log.put('keyed.servers', `odd-${i}`, value));
+  log.put('keyed.op', 'config', deep);
+  log.put('keyed.op', 'other', deep);
+  for (const address of ['nowhere', '10.1.0.1:0', '10.1.0.1:70000']) {
+    const member = {address, failureDomain: 'zone-a', incarnation: 1};
+    log.put('keyed.gateways', address, JSON.stringify(member));
+  }
+  log.put('keyed.gateways', 'deep', deep);
+  await sleep(1_500);
+  // What comes behind the odd records is followed, also by a new gateway.
+  platform.publish({tenants: [{name: 'clerks', apiKeys: ['key-2']}]});
+  const third = await start(2);
+  await ready(third);
+  await sleep(1_500);
+  for (const gateway of [...gateways, third]) {
+    assert.ok(gateway.running());
+    assert.equal((await send(gateway)).status, 401);
+    assertComplete(await send(gateway, {key: 'key-2'}));
+  }
+  const {members} = await fleet.status(third);
+  assert.equal(members.filter(({alive}) => alive).length, 2);
+});
+
 test('a graceful stop cuts no answer and exits with code 0', async t => {
   const {gateways, send} = await fleetFor(t);
   let stopping = false;
