Bound what endless bytes may cost, from every side

Cause: bytes that are no answer may come without end until the caller closes. Tests on real sockets found: a body or one event in chunks of a single byte cost a Buffer for each (257 MB for a body limit of 1 MB, 698 MB before the first configuration) or was searched anew from its start for each (an event of a megabyte kept the loop busy for good); comments of a stream counted as progress, so a stalled one never ended; a refusal with an endless body was reported as broken, though its head says that nothing has run; answers of the store had no bound but 0.9 s; a listing whose pages never end was read for ever; the bodies of all answers together had no bound; the interim answers, empty lines and chunk extensions of an endpoint went on until the deadline.

Change: bodies are collected in blocks, the framer searches only what is new, repeated and unnumbered events neither reach the core nor count as progress. A refusal is reported at its head; up to 64 KiB of its body are read for a second so that the connection can be used again. All running attempts hold at most 64 MiB. Once a second an attempt is failed that has received over a megabyte beyond eight times its content.

Ruled out: heads, trailers and chunk extensions towards the callers' side, and heads and trailers of answers, which the parsers bound.

--- a/packages/core/src/forwarding/attempt_answers.ts
+++ b/packages/core/src/forwarding/attempt_answers.ts
@@ -59,9 +59,10 @@
     const found = currentOf(event.reqId, event.attempt);
     if (!found) return;
     const {req, current} = found;
+    // Repetitions are no progress: a stalled endpoint may send them for ever.
+    if (event.piece <= req.lastPiece) return;
     const {lastProgressMs} = current;
     current.lastProgressMs = ctx.nowMs;
-    if (event.piece <= req.lastPiece) return;
     if (event.piece !== req.lastPiece + 1) {
       ctx.emit({
         kind: 'cancel_attempt',
--- a/packages/gateway/src/callers/caller_server.ts
+++ b/packages/gateway/src/callers/caller_server.ts
@@ -18,6 +18,8 @@
 
 /** Largest head that is parsed; the configured limit is lower. */
 const MAX_HEAD_BYTES = 131_072;
+/** Largest body that is read before the configured limit is known. */
+const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 /** Interval of the checks for heads that exceed their timeout. */
 const CHECK_INTERVAL_MS = 500;
 /** Idle connections outlast the published idle timeout by this margin. */
@@ -85,7 +87,10 @@
     if (headBytes(head) > (limits?.maxHeadBytes ?? MAX_HEAD_BYTES)) {
       return refuse(res, 'head_too_large', request.callerId);
     }
-    const body = await readBody(req, limits?.maxBodyBytes);
+    const body = await readBody(
+      req,
+      limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+    );
     if (body === 'broken') return;
     if (body === 'too_large') {
       return refuse(res, 'body_too_large', request.callerId);
--- a/packages/gateway/src/callers/read_body.ts
+++ b/packages/gateway/src/callers/read_body.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage} from 'node:http';
+import {createBodyCollector} from '../shared/body_collector.js';
 
 /** Body of a request, or why it could not be read. */
 export type BodyRead = Buffer | 'too_large' | 'broken';
@@ -6,21 +7,19 @@
 /** Reads a whole body; stops at the first byte beyond `maxBytes`. */
 export function readBody(
   req: IncomingMessage,
-  maxBytes: number | undefined,
+  maxBytes: number,
 ): Promise<BodyRead> {
   return new Promise(resolve => {
-    const parts: Buffer[] = [];
-    let bytes = 0;
+    const body = createBodyCollector();
     req.on('data', (part: Buffer) => {
-      bytes += part.length;
-      if (maxBytes !== undefined && bytes > maxBytes) {
+      if (body.length() + part.length > maxBytes) {
         req.pause();
         resolve('too_large');
         return;
       }
-      parts.push(part);
+      body.append(part);
     });
-    req.on('end', () => resolve(Buffer.concat(parts)));
+    req.on('end', () => resolve(body.take()));
     req.on('error', () => resolve('broken'));
     req.on('close', () => resolve('broken'));
   });
--- a/packages/gateway/src/endpoints/attempt_handler.ts
+++ b/packages/gateway/src/endpoints/attempt_handler.ts
@@ -5,6 +5,8 @@
 import type {ReceivedAnswer} from '../callers/open_request.js';
 import type {AttemptSink} from './attempt_sink.js';
 import type {ConnectionLease} from './connection_pool.js';
+import type {ByteBudget} from './byte_budget.js';
+import {createBodyCollector} from '../shared/body_collector.js';
 import type {EndpointCodec} from './endpoint_codec.js';
 import {createPieceFramer} from './piece_framer.js';
 import type {ParsedAnswer} from './parsed_answer.js';
@@ -13,9 +15,20 @@
 const LENGTH_HEADERS = ['content-length', 'transfer-encoding'];
 /** Largest body of an answer that is not a stream. */
 const MAX_ANSWER_BYTES = 16_777_216;
+/** Largest body that is read so that its connection can be used again. */
+const MAX_DISCARDED_BYTES = 65_536;
+const DISCARD_TIMEOUT_MS = 1_000;
+/**
+ * Bytes beyond the content of an answer: heads, chunk sizes, comments. Chunks
+ * of a single byte have five bytes of framing each.
+ */
+const MAX_OVERHEAD_BYTES = 1_048_576;
+const MAX_OVERHEAD_FACTOR = 8;
 
 /** Reads the answer to one attempt. */
 export interface AttemptHandler extends Dispatcher.DispatchHandler {
+  /** Fails the attempt if most of what arrives is no part of an answer. */
+  checkOverhead(): void;
   /** Ends the attempt without any further call of the sink. */
   cancel(): void;
 }
@@ -27,6 +40,8 @@
   codec: EndpointCodec;
   callerId: string;
   sink: AttemptSink;
+  /** For bodies that are kept until they are complete. */
+  budget: ByteBudget;
   /** Stores the head, and the body once complete, for the caller. */
   onAnswer(answer: ReceivedAnswer): void;
   /** Called once when the attempt is finished. */
@@ -42,13 +57,18 @@
   let sent = false;
   let finished = false;
   let delimited = true;
+  /** Set while the body of an answer is read that nobody needs. */
+  let discardTimer: NodeJS.Timeout | undefined;
   let answer: ParsedAnswer | undefined;
-  let body: Buffer[] = [];
-  let bodyBytes = 0;
+  const body = createBodyCollector();
+  const bytesBefore = lease.connection.receivedBytes();
+  let contentBytes = 0;
+  let lastPiece = action.resumeAfter;
 
   function finish(): void {
     if (finished) return;
     finished = true;
+    parts.budget.giveBack(body.length());
     parts.onEnd();
   }
 
@@ -73,33 +93,59 @@
     if (verdict !== 'wrong_instance' && hasHints(answer.hints)) {
       sink.hinted(answer.hints);
     }
-    if (verdict !== 'answer') return;
+    if (verdict !== 'answer') return reportNotRun(verdict, answer.atFault);
     answer.head.streamed &&= action.streamed;
     if (!answer.head.streamed) return;
     parts.onAnswer({head: answer.head, body: undefined});
     sink.streamStarted();
   }
 
+  /** The head says it all; the body is read for the connection only. */
+  function reportNotRun(verdict: AttemptFailure, atFault: string): void {
+    finish();
+    discardTimer = setTimeout(lease.discard, DISCARD_TIMEOUT_MS);
+    discardTimer.unref();
+    sink.failed(verdict, '', atFault);
+  }
+
   function data(bytes: Buffer): void {
+    contentBytes += bytes.length;
+    if (discardTimer) return discard();
     if (finished || !answer) return;
-    if (!answer.head.streamed) {
-      bodyBytes += bytes.length;
-      if (bodyBytes > MAX_ANSWER_BYTES)
-        return fail('broken', 'answer too long');
-      body.push(bytes);
-      return;
-    }
+    if (!answer.head.streamed) return collect(bytes);
     try {
       for (const {id, payload} of framer.feed(bytes)) {
-        sink.piece(id, payload);
+        // Comments and repetitions carry nothing, however many there are.
+        if (id <= lastPiece) contentBytes -= payload.length;
+        else sink.piece((lastPiece = id), payload);
       }
     } catch (err) {
       fail('broken', (err as Error).message);
     }
   }
 
+  function collect(bytes: Buffer): void {
+    const tooLong = body.length() + bytes.length > MAX_ANSWER_BYTES;
+    if (tooLong || !parts.budget.tryTake(bytes.length))
+      return fail('broken', 'answer too long');
+    body.append(bytes);
+  }
+
+  function discard(): void {
+    if (contentBytes <= MAX_DISCARDED_BYTES) return;
+    clearTimeout(discardTimer);
+    lease.discard();
+  }
+
+  function checkOverhead(): void {
+    const receivedBytes = lease.connection.receivedBytes() - bytesBefore;
+    const maxBytes = MAX_OVERHEAD_BYTES + contentBytes * MAX_OVERHEAD_FACTOR;
+    if (receivedBytes - contentBytes > maxBytes) fail('broken', 'no answer');
+  }
+
   /** An answer without a length is complete only if it was not reset. */
   function responseEnded(): void {
+    if (discardTimer) return reuseConnection();
     if (delimited || finished) return complete();
     void lease.connection.closedByEndpoint().then(closed => {
       if (closed) complete();
@@ -107,32 +153,30 @@
     });
   }
 
+  function reuseConnection(): void {
+    clearTimeout(discardTimer);
+    lease.release(answer?.keepAliveMs);
+  }
+
   function complete(): void {
     if (finished) return;
     if (!answer) return fail('broken', 'no answer');
-    const {verdict, keepAliveMs} = answer;
-    if (verdict === 'answer' && answer.head.streamed) {
+    if (answer.head.streamed) {
       if (framer.pendingBytes() > 0) return fail('broken', 'event cut off');
       finish();
-      lease.release(keepAliveMs);
+      lease.release(answer.keepAliveMs);
       return sink.streamEnded();
     }
     finish();
-    lease.release(keepAliveMs);
-    if (verdict === 'answer') {
-      parts.onAnswer({head: answer.head, body: Buffer.concat(body)});
-      body = [];
-      return sink.answered(answer.head.status);
-    }
-    sink.failed(verdict, '', answer.atFault);
+    lease.release(answer.keepAliveMs);
+    parts.onAnswer({head: answer.head, body: body.take()});
+    sink.answered(answer.head.status);
   }
 
   function failureReason(err?: Error): AttemptFailure {
     // The request cannot be encoded, for which no endpoint is to blame.
     if (err instanceof errors.InvalidArgumentError) return 'rejected';
-    if (!sent) return 'connect_failed';
-    if (answer && answer.verdict !== 'answer') return answer.verdict;
-    return 'broken';
+    return sent ? 'broken' : 'connect_failed';
   }
 
   return {
@@ -142,8 +186,11 @@
     onResponseStart: (_controller, status, headers) => head(status, headers),
     onResponseData: (_controller, bytes) => data(bytes),
     onResponseEnd: responseEnded,
-    onResponseError: (_controller, err) =>
-      fail(failureReason(err), err.message),
+    onResponseError: (_controller, err) => {
+      clearTimeout(discardTimer);
+      fail(failureReason(err), err.message);
+    },
+    checkOverhead,
     cancel: () => {
       finish();
       lease.discard();
--- a/packages/gateway/src/endpoints/attempt_runner.ts
+++ b/packages/gateway/src/endpoints/attempt_runner.ts
@@ -6,11 +6,16 @@
 import type {Disposable} from '@wisterialadder/runtime/lifecycle/disposable.js';
 import type {OpenRequest} from '../callers/open_request.js';
 import type {OpenRequests} from '../callers/open_requests.js';
-import {createAttemptHandler} from './attempt_handler.js';
+import {createAttemptHandler, type AttemptHandler} from './attempt_handler.js';
 import type {AttemptSink} from './attempt_sink.js';
+import {createByteBudget} from './byte_budget.js';
 import {createConnectionPool, type ConnectionLease} from './connection_pool.js';
 import type {EndpointCodec} from './endpoint_codec.js';
 
+/** Bodies of answers that are kept at the same time, of all attempts. */
+const MAX_BUFFERED_BYTES = 67_108_864;
+const OVERHEAD_CHECK_INTERVAL_MS = 1_000;
+
 /** Sends attempts to endpoints and reports their results. */
 export interface AttemptRunner extends Disposable {
   start(action: StartAttempt): void;
@@ -29,7 +34,12 @@
 /** Creates a runner without connections. */
 export function createAttemptRunner(parts: AttemptRunnerParts): AttemptRunner {
   const pool = createConnectionPool();
-  const running = new Map<string, () => void>();
+  const running = new Map<string, AttemptHandler>();
+  const budget = createByteBudget(MAX_BUFFERED_BYTES);
+  const overheadCheck = setInterval(() => {
+    for (const handler of running.values()) handler.checkOverhead();
+  }, OVERHEAD_CHECK_INTERVAL_MS);
+  overheadCheck.unref();
 
   function start(action: StartAttempt): void {
     const open = parts.open.get(action.reqId);
@@ -73,10 +83,11 @@
       codec: parts.codec,
       callerId: open.callerId,
       sink: sinkFor(action),
+      budget,
       onAnswer: answer => open.answers.set(attempt, answer),
       onEnd: () => running.delete(key),
     });
-    running.set(key, handler.cancel);
+    running.set(key, handler);
     const {head, body} = open;
     lease.connection.dispatch(
       {
@@ -121,10 +132,11 @@
 
   return {
     start,
-    cancel: action => running.get(attemptKey(action))?.(),
+    cancel: action => running.get(attemptKey(action))?.cancel(),
     closeIdleExcept: pool.closeIdleExcept,
     dispose: () => {
-      for (const cancel of [...running.values()]) cancel();
+      clearInterval(overheadCheck);
+      for (const {cancel} of [...running.values()]) cancel();
       return pool.dispose();
     },
   };
--- a/packages/gateway/src/endpoints/endpoint_connection.ts
+++ b/packages/gateway/src/endpoints/endpoint_connection.ts
@@ -24,6 +24,8 @@
    * without a length. A reset does not count as a close.
    */
   closedByEndpoint(): Promise<boolean>;
+  /** Bytes received so far. */
+  receivedBytes(): number;
   /** Closes the connection at once. */
   destroy(): void;
 }
@@ -80,6 +82,7 @@
     },
     isUsable: () => !isClosed && socket?.destroyed === false,
     closedByEndpoint: () => endpointClosed,
+    receivedBytes: () => socket?.bytesRead ?? 0,
     destroy: close,
   };
 }
--- a/packages/gateway/src/endpoints/piece_framer.ts
+++ b/packages/gateway/src/endpoints/piece_framer.ts
@@ -1,7 +1,10 @@
+import {createByteBuffer} from './byte_buffer.js';
 import type {Piece} from './piece.js';
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+/** Length of the line end before and the blank line at the end of an event. */
+const MAX_LINE_END_BYTES = 3;
 /** Bounds the memory of an unfinished event; healthy endpoints send less. */
 const MAX_EVENT_BYTES = 1_048_576;
 
@@ -15,35 +18,56 @@
 
 /** Creates a framer at the start of a stream. */
 export function createPieceFramer(): PieceFramer {
-  let pending: Buffer = Buffer.alloc(0);
+  const pending = createByteBuffer();
 
   function feed(bytes: Buffer): Piece[] {
-    let rest = pending.length === 0 ? bytes : Buffer.concat([pending, bytes]);
+    if (pending.length() === 0) return split(bytes, 0);
+    // Bytes that were searched before are not searched again.
+    const from = Math.max(0, pending.length() - MAX_LINE_END_BYTES);
+    pending.append(bytes);
+    if (endOfEvent(pending.view(), from) >= 0)
+      return split(pending.take(), from);
+    checkLength();
+    return [];
+  }
+
+  /** Returns the complete events and keeps the rest. */
+  function split(bytes: Buffer, searchFrom: number): Piece[] {
+    let rest = bytes;
     const pieces: Piece[] = [];
-    for (let end = endOfEvent(rest); end >= 0; end = endOfEvent(rest)) {
+    for (
+      let end = endOfEvent(rest, searchFrom);
+      end >= 0;
+      end = endOfEvent(rest, 0)
+    ) {
       const payload = rest.subarray(0, end);
       rest = rest.subarray(end);
       pieces.push({id: eventId(payload), payload});
     }
-    if (rest.length > MAX_EVENT_BYTES) throw new Error('event too long');
-    pending = rest;
+    pending.append(rest);
+    checkLength();
     return pieces;
   }
 
-  return {feed, pendingBytes: () => pending.length};
+  function checkLength(): void {
+    if (pending.length() > MAX_EVENT_BYTES) throw new Error('event too long');
+  }
+
+  return {feed, pendingBytes: pending.length};
 }
 
-/** Index behind the first blank line; -1 if there is none. */
-function endOfEvent(bytes: Buffer): number {
-  let from = 0;
-  for (;;) {
-    const lineEnd = bytes.indexOf(LINE_FEED, from);
-    if (lineEnd < 0) return -1;
+/** Index behind the first blank line that ends after `from`; else -1. */
+function endOfEvent(bytes: Buffer, from: number): number {
+  for (
+    let lineEnd = bytes.indexOf(LINE_FEED, from);
+    lineEnd >= 0;
+    lineEnd = bytes.indexOf(LINE_FEED, lineEnd + 1)
+  ) {
     const next =
       bytes[lineEnd + 1] === CARRIAGE_RETURN ? lineEnd + 2 : lineEnd + 1;
     if (bytes[next] === LINE_FEED) return next + 1;
-    from = lineEnd + 1;
   }
+  return -1;
 }
 
 function eventId(event: Buffer): number {
--- a/packages/runtime/src/peers/peer_transport.ts
+++ b/packages/runtime/src/peers/peer_transport.ts
@@ -19,6 +19,8 @@
 import {sameSecret} from './same_secret.js';
 
 const SEND_TIMEOUT_MS = 1_000;
+/** Far above the copy of a large fleet's configuration and registry. */
+const MAX_MESSAGE_BYTES = 16_777_216;
 const SECRET_HEADER = 'wl-peer-secret';
 
 /** A message, identified by its kind. */
@@ -52,7 +54,10 @@
   const sessions = new Set<{destroy(): void}>();
   let bytesSent = 0;
   const server = createServer(
-    connectNodeAdapter({routes: router => registerService(router, parts)}),
+    connectNodeAdapter({
+      routes: router => registerService(router, parts),
+      readMaxBytes: MAX_MESSAGE_BYTES,
+    }),
   );
   server.on('session', session => {
     sessions.add(session);
