Answer what was accepted before a stop, and survive unexpected errors

Change: a server that ends refuses open and arriving requests as not run for 0.1 s, then waits up to 0.4 s for what is being sent. A head that cannot be written becomes a 502, and its attempt is cancelled. Broken answers of HTTP/1.0 are reset.

Ruled out by new tests: late second copies on connections in use again, and answers that break off halfway in any framing.

--- a/packages/gateway/src/callers/answer_writer.ts
+++ b/packages/gateway/src/callers/answer_writer.ts
@@ -5,6 +5,7 @@
 import type {EndStream} from '@wisterialadder/core/gateway/actions/end_stream.js';
 import type {Refuse} from '@wisterialadder/core/gateway/actions/refuse.js';
 import type {GatewayEvent} from '@wisterialadder/core/gateway/events/gateway_event.js';
+import {breakOff} from './break_off.js';
 import type {CallerCodec} from './caller_codec.js';
 import type {OpenRequest} from './open_request.js';
 import type {OpenRequests} from './open_requests.js';
@@ -30,6 +31,7 @@
   /** Whether each answer closes its connection. */
   closing(): boolean;
   push(event: GatewayEvent): boolean;
+  onError(err: unknown): void;
 }
 
 /** Creates a writer for the open requests. */
@@ -43,15 +45,30 @@
     return request;
   }
 
+  /** False if the head cannot be passed on, after an answer of its own. */
   function writeHead(request: OpenRequest, attempt: number): boolean {
-    const answer = request.answers.get(attempt);
-    const {res} = request;
-    if (!answer || res.headersSent) return false;
-    const headers = [...answer.head.headers];
-    if (parts.closing()) headers.push('connection', 'close');
-    if (answer.body) headers.push('content-length', `${answer.body.length}`);
-    res.writeHead(answer.head.status, headers);
-    return true;
+    const {res, callerId} = request;
+    try {
+      const answer = request.answers.get(attempt);
+      if (!answer) throw new Error(`no answer to attempt ${attempt}`);
+      const headers = [...answer.head.headers];
+      if (parts.closing()) headers.push('connection', 'close');
+      if (answer.body) headers.push('content-length', `${answer.body.length}`);
+      res.writeHead(answer.head.status, headers);
+      return true;
+    } catch (err) {
+      parts.onError(err);
+      res.setHeader('connection', 'close');
+      sendRefusal(res, codec.refusal('broken', callerId, undefined));
+      return false;
+    }
+  }
+
+  function beginStream({reqId, attempt}: BeginStream): void {
+    const request = open.get(reqId);
+    if (!request || writeHead(request, attempt)) return;
+    removeOpen(reqId);
+    parts.push({kind: 'caller_left', reqId});
   }
 
   function deliverPiece({reqId, payload}: DeliverPiece): void {
@@ -61,16 +78,21 @@
     res.write(payload);
     if (res.writableLength <= MAX_UNREAD_BYTES) return;
     open.delete(reqId);
-    res.destroy();
+    breakOff(res);
     parts.push({kind: 'caller_left', reqId});
   }
 
+  function breakStream({reqId}: BreakStream): void {
+    const request = removeOpen(reqId);
+    if (request) breakOff(request.res);
+  }
+
   function deliverAnswer({reqId, attempt}: DeliverAnswer): void {
     const request = removeOpen(reqId);
     if (!request) return;
     if (writeHead(request, attempt)) {
       request.res.end(request.answers.get(attempt)?.body);
-    } else request.res.destroy();
+    }
   }
 
   function refuse({reqId, refusal, retryAfterMs}: Refuse): void {
@@ -82,13 +104,10 @@
   }
 
   return {
-    beginStream: ({reqId, attempt}) => {
-      const request = open.get(reqId);
-      if (request) writeHead(request, attempt);
-    },
+    beginStream,
     deliverPiece,
     endStream: ({reqId}) => removeOpen(reqId)?.res.end(),
-    breakStream: ({reqId}) => removeOpen(reqId)?.res.destroy(),
+    breakStream,
     deliverAnswer,
     refuse,
   };
--- a/packages/gateway/src/callers/caller_server.test.ts
+++ b/packages/gateway/src/callers/caller_server.test.ts
@@ -191,3 +191,80 @@
   assert.match(caller.text(), /connection: close\r\n/);
   assert.match(caller.text(), /ok$/);
 });
+
+test('a request that is open when the server ends is refused as not run', async t => {
+  const harness = await fixture(t);
+  const caller = await harness.connect();
+  caller.socket.write(post('x'));
+  await harness.waitForEvents(1);
+  await harness.server.dispose();
+  await caller.closed;
+  assert.match(caller.text(), /^HTTP\/1.1 503 /);
+  assert.match(caller.text(), /connection: close\r\n/);
+});
+
+test('a request that is being sent when the server ends is refused as not run', async t => {
+  const harness = await fixture(t);
+  const caller = await harness.connect();
+  caller.socket.write(post('body').slice(0, -2));
+  await new Promise(resolve => setTimeout(resolve, 30));
+  const ended = harness.server.dispose();
+  caller.socket.write('dy');
+  await Promise.all([ended, caller.closed]);
+  assert.match(caller.text(), /^HTTP\/1.1 503 /);
+  assert.deepEqual(harness.events, []);
+});
+
+test('a request that is never sent completely does not keep the server', async t => {
+  const harness = await fixture(t);
+  const caller = await harness.connect();
+  caller.socket.write(post('body').slice(0, -2));
+  await new Promise(resolve => setTimeout(resolve, 30));
+  const startedMs = performance.now();
+  await harness.server.dispose();
+  assert.ok(performance.now() - startedMs < 1_000);
+  await caller.closed;
+});
+
+for (const [what, headers] of [
+  ['a character beyond Latin-1', ['x-note', '\u20ac']],
+  ['a line break', ['x-note', 'a\r\nb: c']],
+  ['no valid name', ['x note', 'a']],
+] as const) {
+  test(`an answer whose head has ${what} is not passed on in part`, async t => {
+    const harness = await fixture(t);
+    const caller = await harness.connect();
+    caller.socket.write(post('x'));
+    await harness.waitForEvents(1);
+    const head = {status: 200, headers: [...headers], streamed: true};
+    harness.open.get('r1')?.answers.set(1, {head, body: undefined});
+    const reqId = 'r1';
+    harness.writer.beginStream({kind: 'begin_stream', reqId, attempt: 1});
+    const payload = Buffer.from('id: 1\n\n');
+    harness.writer.deliverPiece({kind: 'deliver_piece', reqId, payload});
+    harness.writer.endStream({kind: 'end_stream', reqId});
+    await caller.closed;
+    assert.match(caller.text(), /^HTTP\/1.1 502 /);
+    assert.ok(!caller.text().includes('id: 1'));
+    assert.deepEqual(harness.events.at(-1), {kind: 'caller_left', reqId});
+  });
+}
+
+test('a stream that breaks does not look complete to a caller of HTTP/1.0', async t => {
+  const harness = await fixture(t);
+  const caller = await harness.connect();
+  caller.socket.write(post('x').replace('HTTP/1.1', 'HTTP/1.0'));
+  let reset = false;
+  caller.socket.on('error', () => (reset = true));
+  await harness.waitForEvents(1);
+  const head = {status: 200, headers: [], streamed: true};
+  harness.open.get('r1')?.answers.set(1, {head, body: undefined});
+  const reqId = 'r1';
+  harness.writer.beginStream({kind: 'begin_stream', reqId, attempt: 1});
+  const payload = Buffer.from('id: 1\n\n');
+  harness.writer.deliverPiece({kind: 'deliver_piece', reqId, payload});
+  await caller.waitForText('id: 1');
+  harness.writer.breakStream({kind: 'break_stream', reqId});
+  await caller.closed;
+  assert.ok(reset);
+});
--- a/packages/gateway/src/callers/caller_server.ts
+++ b/packages/gateway/src/callers/caller_server.ts
@@ -5,10 +5,13 @@
   type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {CallerLimits} from '@wisterialadder/core/configuration/caller_limits.js';
+import type {Refusal} from '@wisterialadder/core/forwarding/refusal.js';
 import type {GatewayEvent} from '@wisterialadder/core/gateway/events/gateway_event.js';
 import {splitAddress} from '@wisterialadder/runtime/http/http_server.js';
 import type {Disposable} from '@wisterialadder/runtime/lifecycle/disposable.js';
+import {breakOff} from './break_off.js';
 import type {CallerCodec} from './caller_codec.js';
 import type {CallerHead} from './caller_head.js';
 import type {CallerRequest} from './caller_request.js';
@@ -27,6 +30,11 @@
 /** Time within which a caller must send a whole request. */
 const REQUEST_TIMEOUT_MS = 60_000;
 
+/** Time for which a server that ends refuses what still arrives. */
+const REFUSING_MS = 100;
+/** Time until a server that ends closes connections that are still open. */
+const CLOSE_TIMEOUT_MS = 400;
+
 /** HTTP server for requests of callers. */
 export interface CallerServer extends Disposable {
   readonly address: string;
@@ -53,6 +61,7 @@
   const {codec, open} = parts;
   let limits: CallerLimits | undefined;
   let closing = false;
+  let ended = false;
   let lastSuffix = 0;
 
   const server = createServer(
@@ -100,7 +109,7 @@
 
   function refuse(
     res: ServerResponse,
-    refusal: 'bad_request' | 'head_too_large' | 'body_too_large',
+    refusal: Refusal,
     callerId: string,
   ): void {
     res.setHeader('connection', 'close');
@@ -120,11 +129,21 @@
       parts.push({kind: 'caller_left', reqId});
     });
     if (res.destroyed || res.closed) return;
+    if (ended) return refuse(res, 'draining', callerId);
     open.set(reqId, {head, callerId, body, res, answers: new Map()});
     const bodyBytes = body.length;
     parts.push({kind: 'request_arrived', reqId, ...fields, bodyBytes});
   }
 
+  /** The core has answered all it knows; the others came while it stopped. */
+  function refuseOpen(): void {
+    for (const {res, callerId} of open.values()) {
+      if (res.headersSent) breakOff(res);
+      else refuse(res, 'draining', callerId);
+    }
+    open.clear();
+  }
+
   /** Numbers ids that are empty or in use: callers may repeat open ones. */
   function assignReqId(callerId: string): string {
     if (callerId !== '' && !open.has(callerId)) return callerId;
@@ -148,12 +167,14 @@
       if (idleToo) server.closeIdleConnections();
     },
     closing: () => closing,
-    dispose: () =>
-      new Promise(resolve => {
-        server.close(() => resolve());
-        server.closeIdleConnections();
-        for (const {res} of open.values()) res.destroy();
-      }),
+    dispose: async () => {
+      ended = true;
+      closing = true;
+      refuseOpen();
+      // For requests on connections that have just been accepted.
+      await sleep(REFUSING_MS);
+      await close(server);
+    },
   };
 }
 
@@ -173,3 +194,18 @@
   });
   server.removeAllListeners('error');
 }
+
+/** Leaves callers a moment to finish what they are sending. */
+function close(server: Server): Promise<void> {
+  return new Promise(resolve => {
+    const limit = setTimeout(
+      () => server.closeAllConnections(),
+      CLOSE_TIMEOUT_MS,
+    );
+    server.close(() => {
+      clearTimeout(limit);
+      resolve();
+    });
+    server.closeIdleConnections();
+  });
+}
--- a/packages/gateway/src/endpoints/attempt_runner.test.ts
+++ b/packages/gateway/src/endpoints/attempt_runner.test.ts
@@ -206,3 +206,40 @@
   assert.deepEqual(outcomes(harness), ['rejected']);
   assert.equal(harness.endpoint.connections(), 0);
 });
+
+for (const [what, second] of [
+  ['answer', notFound('r1')],
+  ['stream', STREAM_HEAD + CHUNKED + chunk('id: 1\ndata: a\n\n')],
+]) {
+  test(`a late second copy of an earlier ${what} does not reach the next request`, async t => {
+    const harness = await fixture(t, (socket, request) => {
+      const id = /req-id: (\w+)/.exec(request)?.[1] ?? '';
+      socket.write(id === 'r1' ? notFound('r1') : second + notFound(id));
+    });
+    start(harness);
+    await harness.nextEnd();
+    harness.request('r2');
+    start(harness, 'r2');
+    await harness.nextEnd();
+    assert.equal(harness.endpoint.connections(), 1);
+    assert.deepEqual(outcomes(harness), ['answer_received', 'broken']);
+    assert.ok(!harness.open.get('r2')?.answers.size);
+  });
+}
+
+for (const [what, answer] of [
+  ['with a length', 'content-length: 9\r\n\r\nhalf'],
+  ['in chunks', `${CHUNKED}4\r\nhalf\r\n`],
+  ['within a chunk', `${CHUNKED}9\r\nhalf`],
+  ['without a body yet', 'content-length: 9\r\n\r\n'],
+]) {
+  test(`an answer ${what} that breaks off halfway is not delivered`, async t => {
+    const harness = await fixture(t, socket =>
+      socket.end(`HTTP/1.1 200 OK\r\nreq-id: r1\r\n${answer}`),
+    );
+    start(harness);
+    await harness.nextEnd();
+    assert.deepEqual(outcomes(harness), ['broken']);
+    assert.ok(!harness.open.get('r1')?.answers.size);
+  });
+}
--- a/packages/gateway/src/gateway_program.ts
+++ b/packages/gateway/src/gateway_program.ts
@@ -97,6 +97,7 @@
     codec: ports.callers,
     closing: callers.closing,
     push,
+    onError,
   });
   const probe = store.add(
     await startHttpServer(
--- a/packages/gateway/src/mocks/callers.ts
+++ b/packages/gateway/src/mocks/callers.ts
@@ -22,6 +22,8 @@
   head_too_large: 431,
   body_too_large: 413,
   overloaded: 503,
+  draining: 503,
+  broken: 502,
 };
 
 /** A codec for tests that takes the id of a request from `req-id`. */
@@ -87,7 +89,13 @@
     },
   });
   const {closing} = server;
-  const writer = createAnswerWriter({open, codec, closing, push});
+  const writer = createAnswerWriter({
+    open,
+    codec,
+    closing,
+    push,
+    onError: () => undefined,
+  });
   return {
     server,
     writer,
--- a/packages/runtime/src/program/run_program.ts
+++ b/packages/runtime/src/program/run_program.ts
@@ -69,7 +69,9 @@
   const exit = (code: number): void => {
     void store.dispose().finally(() => process.exit(code));
   };
+  // An error in one callback must not end the requests of all others.
   process.on('unhandledRejection', logError(logger));
+  process.on('uncaughtException', logError(logger));
   const onSignal = (handler: () => void): void => {
     process.on('SIGTERM', handler);
     process.on('SIGINT', handler);
--- a/scripts/process_tests/gateway.test.mjs
+++ b/scripts/process_tests/gateway.test.mjs
@@ -242,6 +242,33 @@
   assert.equal((await gateways[0].exited).code, 0);
 });
 
+test('a graceful stop under load leaves no accepted request without an answer', async t => {
+  const {gateways, platform, send} = await fleetFor(t, {services: 4});
+  const [stopped] = gateways;
+  const answers = [];
+  let attempts = 0;
+  const callers = Array.from({length: 24}, async () => {
+    for (let error = ''; error !== 'ECONNREFUSED';) {
+      attempts += 1;
+      const id = `stop-${attempts}`;
+      const answer = await send(stopped, {...CALL, attemptId: id});
+      ({error} = answer);
+      if (error !== 'ECONNREFUSED') answers.push({...answer, id});
+    }
+  });
+  await sleep(300);
+  stopped.kill('SIGTERM');
+  await Promise.all(callers);
+  assert.equal((await stopped.exited).code, 0);
+  assert.ok(answers.length > 200, `${answers.length} answers`);
+  const ran = new Set(platform.services.flatMap(({arrivals}) => arrivals));
+  for (const {id, status, complete, error} of answers) {
+    // A connection that is not accepted any more is reset by the kernel.
+    if (status === 0) assert.ok(error === 'ECONNRESET' && !ran.has(id), error);
+    else assert.ok(complete && [200, 503].includes(status), `${status}`);
+  }
+});
+
 test('a gateway that was paused for seconds serves again', async t => {
   const {gateways, send, ready} = await fleetFor(t);
   gateways[0].kill('SIGSTOP');
