Take the platform's bounds as fractions, zero or not at all

Cause: the settings asked for a whole number of repeats. The platform gives 38.33 on a small twin of the large site, and all 23 gateways ended with code 2 at their start. A missing bound was read as 0, since coercion takes an empty text for a number, and a window of 0 would have allowed any number of repeats.

Change: the bounds that the template fills in are numbers in wide ranges with a fallback; a key that is left empty takes its fallback; an empty text is no number. The grace period and the window have a lower bound in use.

--- a/packages/gateway/src/gateway_config_of.ts
+++ b/packages/gateway/src/gateway_config_of.ts
@@ -6,6 +6,8 @@
 const MS_PER_SECOND = 1_000;
 /** Time before the end of the grace period at which requests are aborted. */
 const ABORT_MARGIN_MS = 700;
+/** A shorter window would hold no repeat and so allow any number. */
+const MIN_RETRY_WINDOW_MS = 100;
 
 /** Converts the program's settings to the configuration of the core. */
 export function gatewayConfigOf(
@@ -22,9 +24,15 @@
       .map(seed => `${splitAddress(seed).host}:${port}`)
       .filter(seed => seed !== address),
     drainNoticeMs: cfg.shutdown.notice,
-    drainLimitMs: cfg.shutdown.grace * MS_PER_SECOND - ABORT_MARGIN_MS,
+    drainLimitMs: Math.max(
+      0,
+      cfg.shutdown.grace * MS_PER_SECOND - ABORT_MARGIN_MS,
+    ),
     retryRatio: cfg.retries.ratio,
     retryExtra: cfg.retries.extra,
-    retryWindowMs: cfg.retries.window * MS_PER_SECOND,
+    retryWindowMs: Math.max(
+      MIN_RETRY_WINDOW_MS,
+      cfg.retries.window * MS_PER_SECOND,
+    ),
   };
 }
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -32,9 +32,10 @@
     address: address({help: 'Address of the store.'}),
   },
   shutdown: {
-    grace: decimal(1, 600, {
+    grace: decimal(0, 86_400, {
       help: 'Time between SIGTERM and the end of the process.',
       unit: 's',
+      fallback: '8',
     }),
     notice: integer(0, 600_000, {
       help: 'Part of the grace period in which requests are still taken.',
@@ -43,16 +44,19 @@
     }),
   },
   retries: {
-    ratio: decimal(0, 10, {
+    ratio: decimal(0, 100_000, {
       help: 'Repeats that a service may get for each request.',
+      fallback: '0.2',
     }),
-    extra: integer(0, 1_000_000, {
+    extra: decimal(0, 1_000_000_000, {
       help: 'Repeats beyond that in a window, over all gateways.',
       unit: 'repeats',
+      fallback: '0',
     }),
-    window: decimal(0.1, 600, {
+    window: decimal(0, 86_400, {
       help: 'Length of the window in which repeats are counted.',
       unit: 's',
+      fallback: '10',
     }),
   },
 };
--- a/packages/runtime/src/settings/parse_settings.ts
+++ b/packages/runtime/src/settings/parse_settings.ts
@@ -34,7 +34,9 @@
   setting: Setting<unknown>,
   raw: unknown,
 ): Result<unknown, string> {
-  const value = raw ?? setting.fallback;
+  // A template leaves a key empty if it has no value for it.
+  const given = raw === '' ? undefined : raw;
+  const value = given ?? setting.fallback ?? raw;
   if (value === undefined) return Err('is missing');
   const parsed = setting.schema.safeParse(String(value));
   if (parsed.success) return Ok(parsed.data);
--- a/packages/runtime/src/settings/setting_kinds.ts
+++ b/packages/runtime/src/settings/setting_kinds.ts
@@ -4,6 +4,9 @@
 const ADDRESS_PATTERN =
   /^(?:\d{1,3}\.){3}\d{1,3}:\d{1,5}$|^\[[0-9a-f:]+\]:\d{1,5}$/;
 
+/** Coercion would take an empty text for 0. */
+const NUMBER = z.string().trim().min(1);
+
 /** Non-empty text. */
 export function text(options: SettingOptions): Setting<string> {
   return build(z.string().min(1), 'any text', options);
@@ -20,7 +23,7 @@
   max: number,
   options: SettingOptions,
 ): Setting<number> {
-  const schema = z.coerce.number().int().min(min).max(max);
+  const schema = NUMBER.pipe(z.coerce.number<string>().int().min(min).max(max));
   return build(schema, `whole number from ${min} to ${max}`, options);
 }
 
@@ -30,7 +33,7 @@
   max: number,
   options: SettingOptions,
 ): Setting<number> {
-  const schema = z.coerce.number().min(min).max(max);
+  const schema = NUMBER.pipe(z.coerce.number<string>().min(min).max(max));
   return build(schema, `number from ${min} to ${max}`, options);
 }
 
