Listen for callers before the bundle is loaded

A process takes 0.12 s of processor time until its script runs and another 0.12 s for the bundle, on a third or two thirds of a core.

Change: the start script opens the callers' address first; the caller server takes the listening socket over and serves the connections that were accepted meanwhile. Nothing is read from them before. If it cannot listen, the program says why, as before.

A process test starts the server behind a request that waits.

Ruled out: decisions.

--- a/deploy/run_bundle.mjs
+++ b/deploy/run_bundle.mjs
@@ -5,6 +5,9 @@
 import {join} from 'node:path';
 import process from 'node:process';
 import {Script} from 'node:vm';
+import {listenEarly} from './listen_early.mjs';
+
+await listenEarly();
 
 const BUNDLE = join(import.meta.dirname, 'wl-gateway.cjs');
 const CACHE = join(import.meta.dirname, 'wl-gateway.cache');
--- a/packages/gateway/src/callers/caller_server.ts
+++ b/packages/gateway/src/callers/caller_server.ts
@@ -9,6 +9,10 @@
 import type {CallerLimits} from '@wisterialadder/core/configuration/caller_limits.js';
 import type {Refusal} from '@wisterialadder/core/forwarding/refusal.js';
 import type {GatewayEvent} from '@wisterialadder/core/gateway/events/gateway_event.js';
+import {
+  takeEarlyListener,
+  type EarlyListener,
+} from '@wisterialadder/runtime/http/early_listener.js';
 import {splitAddress} from '@wisterialadder/runtime/http/http_server.js';
 import type {Disposable} from '@wisterialadder/runtime/lifecycle/disposable.js';
 import {breakOff} from './break_off.js';
@@ -187,6 +191,8 @@
 }
 
 async function listen(server: Server, address: string): Promise<void> {
+  const early = takeEarlyListener(address);
+  if (early) return adopt(server, early);
   const {host, port} = splitAddress(address);
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
@@ -209,3 +215,17 @@
     server.closeIdleConnections();
   });
 }
+
+/** Takes over a listening socket and the connections that it has accepted. */
+async function adopt(
+  server: Server,
+  {server: listening, sockets}: EarlyListener,
+): Promise<void> {
+  await new Promise<void>(resolve => server.listen(listening, resolve));
+  for (const socket of sockets) {
+    if (socket.destroyed) continue;
+    socket.removeAllListeners('error');
+    server.emit('connection', socket);
+    socket.resume();
+  }
+}
--- a/scripts/build_target.sh
+++ b/scripts/build_target.sh
@@ -9,7 +9,7 @@
 npx esbuild platform/dist/main.js --bundle --platform=node --format=cjs \
   --target=node20 --outfile=target/wl-gateway.cjs --log-level=warning \
   --external:ts-results --alias:undici=./deploy/undici_parts.mjs
-cp deploy/run_bundle.mjs target/run_bundle.mjs
+cp deploy/run_bundle.mjs deploy/listen_early.mjs target/
 rm -f target/wl-gateway.cache
 # V8 accepts the cache only with the flags under which it was written.
 flags=$(sed -n 's/^run = "node \(.*\) target.*/\1/p' deploy/system.toml)
--- /dev/null
+++ b/scripts/process_tests/early_listener.test.mjs
@@ -0,0 +1,76 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {connect} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {listenEarly} from '../../deploy/listen_early.mjs';
+import {startCallerServer} from '../../packages/gateway/dist/callers/caller_server.js';
+import {FakeCallerCodec} from '../../packages/gateway/dist/mocks/callers.js';
+import {freePort} from '../fleet/free_port.mjs';
+
+const HOST = '127.0.0.1';
+
+/** Listens early as the start script does with this settings file. */
+async function listenWith(t, settings) {
+  const dir = mkdtempSync(join(tmpdir(), 'wl-early-'));
+  t.after(() => rmSync(dir, {recursive: true, force: true}));
+  const file = join(dir, 'gateway.ini');
+  writeFileSync(file, settings);
+  process.env.WISTERIALADDER_CONFIG = file;
+  await listenEarly();
+  delete process.env.WISTERIALADDER_CONFIG;
+}
+
+function post(id) {
+  return `POST /a HTTP/1.1\r\nhost: x\r\nreq-id: ${id}\r\ncontent-length: 0\r\n\r\n`;
+}
+
+test('requests that come before the server is loaded are served by it', async t => {
+  const port = await freePort([HOST]);
+  const address = `${HOST}:${port}`;
+  const settings = `[vm]\nfailure_domain = a\n[caller]\nlisten = ${address}\n`;
+  await listenWith(t, settings);
+  const early = connect(port, HOST);
+  await once(early, 'connect');
+  early.write(post('early'));
+  const gone = connect(port, HOST);
+  await once(gone, 'connect');
+  gone.resetAndDestroy();
+  await sleep(50);
+  const open = new Map();
+  const server = await startCallerServer({
+    address,
+    codec: new FakeCallerCodec(),
+    open,
+    push: () => true,
+    onError: err => {
+      throw err;
+    },
+  });
+  t.after(() => server.dispose());
+  const later = connect(port, HOST);
+  later.write(post('later'));
+  while (open.size < 2) await sleep(5);
+  assert.deepEqual([...open.keys()].sort(), ['early', 'later']);
+  for (const {res} of open.values()) res.end('done');
+  for (const socket of [early, later]) {
+    const [bytes] = await once(socket, 'data');
+    assert.match(String(bytes), /^HTTP\/1.1 200 /);
+    socket.destroy();
+  }
+  assert.equal(server.address, address);
+});
+
+for (const [what, settings] of [
+  ['without an address for callers', '[vm]\nfailure_domain = a\n'],
+  ['with an address of another section', '[ops]\nlisten = 127.0.0.1:1\n'],
+  ['with an address in use elsewhere', '[caller]\nlisten = 203.0.113.1:9\n'],
+]) {
+  test(`settings ${what} are left to the program`, async t => {
+    await listenWith(t, settings);
+    assert.ok(!(Symbol.for('wisterialadder.early_listener') in globalThis));
+  });
+}
