Refuse at once what cannot be whole by its deadline

An answer counted as possible when its first piece came in time.

Change: a choice has an expected end as well. A request is sent only if half of its expected stream, which often is shorter, ends before its deadline. A repeat with less time left than its target that even the best choice cannot serve is refused without a wait.

Three tests, one of which failed before for each change.

--- a/packages/core/src/forwarding/capacity_wait.test.ts
+++ b/packages/core/src/forwarding/capacity_wait.test.ts
@@ -110,3 +110,35 @@
   assert.equal(resumed?.endpoint, 'e2');
   assert.equal(resumed?.resumeAfter, 1);
 });
+
+// Repeats of 106,000 to 177,000 tokens were kept for 60 ms, although the best
+// choice took longer than all the time that they had left.
+test('a repeat that even the best choice cannot serve is refused at once', () => {
+  const routes = [streamRoute({targetMs: 3_000})];
+  const known = {entries: ONE_ENGINE, configuration: configuration({routes})};
+  const gateway = readyGateway(known);
+  const large = {promptTokens: 170_000, remainingMs: 500};
+  assert.equal(refusal(gateway.step(requestArrived(large))), 'overloaded');
+});
+
+test('a new request waits for a better choice than one that is too slow', () => {
+  const routes = [streamRoute({targetMs: 3_000, timeoutMs: 4_000})];
+  const known = {entries: ONE_ENGINE, configuration: configuration({routes})};
+  const gateway = readyGateway(known);
+  const engine = endpointEntry({id: 'e2'});
+  const large = requestArrived({promptTokens: 200_000, remainingMs: 3_900});
+  assert.equal(refusal(gateway.step(large)), undefined);
+  gateway.step(registryRead([...ONE_ENGINE, engine], 20), 10);
+  assert.ok(started(gateway.step({kind: 'tick'}, 50)));
+});
+
+// A repeat with 0.45 s left got 13 pieces of a stream, then its deadline came.
+test('a repeat without time for its whole stream is refused at once', () => {
+  const routes = [streamRoute({targetMs: 3_000})];
+  const known = {configuration: configuration({routes})};
+  const stream = {expectedOutputTokens: 1_600, remainingMs: 700};
+  const short = {...stream, expectedOutputTokens: 200};
+  const refused = readyGateway(known).step(requestArrived(stream));
+  assert.equal(refusal(refused), 'overloaded');
+  assert.ok(started(readyGateway(known).step(requestArrived(short))));
+});
--- a/packages/core/src/forwarding/dispatcher.ts
+++ b/packages/core/src/forwarding/dispatcher.ts
@@ -10,7 +10,7 @@
 import type {RequestEnd} from './request_end.js';
 import {capacityWaitEndMs, pauseWaitEndMs} from './capacity_wait.js';
 import {logNoRoute, logRoute} from './route_log.js';
-import {servesInTime, targetEndMs} from './serves_in_time.js';
+import {isTooLate, servesInTime, targetEndMs} from './serves_in_time.js';
 
 /** Planning a start does not pay for shorter waits. */
 const MIN_PLANNED_WAIT_MS = 15;
@@ -88,7 +88,8 @@
     const resumeMs = selection.pausedUntilMs(nowMs, req.service);
     if (resumeMs !== undefined) return awaitPauseEnd(ctx, req, resumeMs);
     const waitEndMs = capacityWaitEndMs(req);
-    if (nowMs >= waitEndMs) return end.failUnserved(ctx, req);
+    const hopeless = slow && isTooLate(nowMs, req, slow);
+    if (hopeless || nowMs >= waitEndMs) return end.failUnserved(ctx, req);
     req.nextCapacityCheckMs = Math.min(
       nowMs + CAPACITY_CHECK_INTERVAL_MS,
       waitEndMs,
--- a/packages/core/src/forwarding/serves_in_time.ts
+++ b/packages/core/src/forwarding/serves_in_time.ts
@@ -1,6 +1,9 @@
 import type {EndpointChoice} from '../spread/endpoint_choice.js';
 import type {ForwardedRequest} from './forwarded_request.js';
 
+/** Share of its expected length that a stream may turn out to have. */
+const SHORT_STREAM_SHARE = 1 / 2;
+
 /**
  * Whether a choice sends a request within its target and answers it before its
  * deadline. A request that was sent to an endpoint before is always sent again:
@@ -10,12 +13,33 @@
 export function servesInTime(
   nowMs: number,
   req: ForwardedRequest,
-  {startInMs, expectedMs}: EndpointChoice,
+  choice: EndpointChoice,
 ): boolean {
   if (req.attempts > 0) return true;
+  const {startInMs} = choice;
   const sentMs = nowMs + startInMs;
   if (startInMs > 0 && sentMs >= targetEndMs(req)) return false;
-  return nowMs + expectedMs < req.deadlineMs;
+  return nowMs + neededMs(choice) < req.deadlineMs;
+}
+
+/**
+ * Whether waiting for a better choice is pointless: the request, mostly a
+ * caller's repeat, has less time left than its target, and the best choice
+ * needs all of it.
+ * @param nowMs steady clock
+ */
+export function isTooLate(
+  nowMs: number,
+  req: ForwardedRequest,
+  best: EndpointChoice,
+): boolean {
+  const leftMs = req.deadlineMs - nowMs;
+  return leftMs < req.route.targetMs && neededMs(best) >= leftMs;
+}
+
+/** Time that an answer needs to be whole, even if it is a short one. */
+function neededMs({expectedMs, expectedEndMs}: EndpointChoice): number {
+  return expectedMs + (expectedEndMs - expectedMs) * SHORT_STREAM_SHARE;
 }
 
 /** Time at which the first piece of a request is due. Steady clock. */
--- a/packages/core/src/spread/endpoint_choice.ts
+++ b/packages/core/src/spread/endpoint_choice.ts
@@ -12,6 +12,8 @@
   startInMs: number;
   /** Expected time to the first piece, or to the answer, in milliseconds. */
   expectedMs: number;
+  /** Expected time to the last piece if nothing delays the stream. */
+  expectedEndMs: number;
   /** Gap between two pieces on a healthy engine; 0 if not a stream. */
   baselineGapMs: number;
   /** Expected loss of value, see `requestValue`. */
--- a/packages/core/src/spread/least_work.ts
+++ b/packages/core/src/spread/least_work.ts
@@ -34,6 +34,7 @@
       helperTokens: 0,
       startInMs: 0,
       expectedMs: 0,
+      expectedEndMs: 0,
       baselineGapMs: 0,
       loss: 0,
       reason,
