--- a/packages/cli/src/commands/requests_find.ts
+++ b/packages/cli/src/commands/requests_find.ts
@@ -47,8 +47,8 @@
       });
       const found = lines
         .filter(({context}) => ids.has(context.reqId))
+        .sort((a, b) => a.time - b.time)
         .slice(0, limit);
-      found.sort((a, b) => a.time - b.time);
       return success({
         columns: ['time', 'event', 'request', 'message', 'fields'],
         rows: found.map(({time, context, message}) => [
--- a/packages/cli/src/gateway_commands.test.ts
+++ b/packages/cli/src/gateway_commands.test.ts
@@ -53,9 +53,13 @@
   return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
-function logLine(event: string, fields: Record<string, unknown>): string {
+function logLine(
+  event: string,
+  fields: Record<string, unknown>,
+  time = 1_000,
+): string {
   const context = {event, program: 'wl-gateway', ...fields};
-  return JSON.stringify({context, message: `text of ${event}`, time: 1_000});
+  return JSON.stringify({context, message: `text of ${event}`, time});
 }
 
 test('gateway status shows store, peers and endpoints as the gateway sees them', async t => {
@@ -110,3 +114,15 @@
   assert.match(stdout, /WL8305/);
   assert.doesNotMatch(stdout, /a2/);
 });
+
+test('a limited search shows the oldest lines, whatever the order of files', async () => {
+  const input = [
+    logLine('WL8302', {reqId: 'a1'}, 3_000),
+    logLine('WL8303', {reqId: 'a1'}, 2_000),
+    logLine('WL8301', {reqId: 'a1'}, 1_000),
+  ].join('\n');
+  const words = ['requests', 'find', '--request', 'a1', '--limit', '2'];
+  const {stdout} = await wlctlWithStdin(input, {}, ...words);
+  assert.match(stdout, /WL8301[^]*WL8303/);
+  assert.doesNotMatch(stdout, /WL8302/);
+});
--- a/packages/core/src/endpoint_health/endpoint_health.ts
+++ b/packages/core/src/endpoint_health/endpoint_health.ts
@@ -32,8 +32,8 @@
   observeGap(endpoint: string, gapMs: number, baselineMs: number): void;
   /** How many times slower than its profile the endpoint is. */
   slowdown(endpoint: string): number;
-  /** Health record of an endpoint; created if there is none. */
-  record(endpoint: string): HealthRecord;
+  /** Health record of an endpoint, or that of one without any attempt. */
+  record(endpoint: string): Readonly<HealthRecord>;
   /** Drops the records of endpoints that are not in the set. */
   retain(endpoints: ReadonlySet<string>): void;
 }
@@ -45,14 +45,7 @@
   function recordOf(endpoint: string): HealthRecord {
     let record = records.get(endpoint);
     if (!record) {
-      record = {
-        failures: 0,
-        lastFailure: '',
-        ejectedUntilMs: NEVER_MS,
-        lastSuccessMs: NEVER_MS,
-        lastAttemptMs: NEVER_MS,
-        slowdown: 1,
-      };
+      record = newRecord();
       records.set(endpoint, record);
     }
     return record;
@@ -119,7 +112,7 @@
     },
     observeGap,
     slowdown: endpoint => records.get(endpoint)?.slowdown ?? 1,
-    record: recordOf,
+    record: endpoint => records.get(endpoint) ?? newRecord(),
     retain: endpoints => {
       for (const endpoint of records.keys()) {
         if (!endpoints.has(endpoint)) records.delete(endpoint);
@@ -127,3 +120,14 @@
     },
   };
 }
+
+function newRecord(): HealthRecord {
+  return {
+    failures: 0,
+    lastFailure: '',
+    ejectedUntilMs: NEVER_MS,
+    lastSuccessMs: NEVER_MS,
+    lastAttemptMs: NEVER_MS,
+    slowdown: 1,
+  };
+}
--- a/packages/core/src/queue/request_queue.ts
+++ b/packages/core/src/queue/request_queue.ts
@@ -2,7 +2,7 @@
 
 /** Order in which waiting requests are served. */
 export abstract class RequestQueue {
-  abstract push(entry: QueueEntry, nowMs: number): void;
+  abstract push(entry: QueueEntry): void;
   abstract remove(reqId: string): void;
   /** Number of waiting requests. */
   abstract size(): number;
--- a/packages/core/src/requests/create_request_tracker.ts
+++ b/packages/core/src/requests/create_request_tracker.ts
@@ -36,7 +36,7 @@
   function admit(ctx: RouterContext, state: RequestState): void {
     requests.set(state.entry.reqId, state);
     observer?.admitted(ctx, state);
-    if (state.phase === 'queued') queue.push(state.entry, ctx.nowMs);
+    if (state.phase === 'queued') queue.push(state.entry);
   }
 
   function claimGranted(ctx: RouterContext, reqId: string): void {
@@ -47,7 +47,7 @@
 
   function enqueue(ctx: RouterContext, state: RequestState): void {
     state.phase = 'queued';
-    queue.push(state.entry, ctx.nowMs);
+    queue.push(state.entry);
   }
 
   function markReserving(reqId: string): void {
--- a/packages/core/src/table/peer_rotation.ts
+++ b/packages/core/src/table/peer_rotation.ts
@@ -1,3 +1,4 @@
+import {shuffled} from '../shared/shuffled.js';
 import type {RandomSource} from '../types/random_source.js';
 
 /** Selects peers in rounds: each once before any is selected again. */
@@ -27,10 +28,3 @@
 
   return {take};
 }
-
-function shuffled(items: string[], random: RandomSource): string[] {
-  return items
-    .map(item => ({item, order: random()}))
-    .sort((a, b) => a.order - b.order)
-    .map(({item}) => item);
-}
--- a/scripts/capacity/measure_limits.mjs
+++ b/scripts/capacity/measure_limits.mjs
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {createSharedLimits} from '../../packages/core/dist/limits/shared_limits.js';
 import {createTestRandom} from '../../packages/core/dist/mocks/step_harness.js';
-import {runFeatures} from '../../packages/core/dist/router/run_features.js';
+import {runFeatures} from '../../packages/core/dist/shared/run_features.js';
 import {customers} from './rows.mjs';
 import {heapOf, cpuUs} from './usage.mjs';
 
--- a/scripts/capacity/measure_prefix.mjs
+++ b/scripts/capacity/measure_prefix.mjs
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import {createEndpointDirectory} from '../../packages/core/dist/endpoints/endpoint_directory.js';
+import {createEndpointDirectory} from '../../packages/core/dist/endpoints/create_endpoint_directory.js';
 import {recordedContext} from '../../packages/core/dist/mocks/router_context.js';
 import {createPrefixIndex} from '../../packages/core/dist/routing/prefix_index.js';
 import {endpoints} from './rows.mjs';
