--- a/packages/gateway/src/callers/caller_server.ts
+++ b/packages/gateway/src/callers/caller_server.ts
@@ -1,7 +1,6 @@
 import {
   createServer,
   type IncomingMessage,
-  type Server,
   type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
@@ -9,15 +8,12 @@
 import type {CallerLimits} from '@wisterialadder/core/configuration/caller_limits.js';
 import type {Refusal} from '@wisterialadder/core/forwarding/refusal.js';
 import type {GatewayEvent} from '@wisterialadder/core/gateway/events/gateway_event.js';
-import {
-  takeEarlyListener,
-  type EarlyListener,
-} from '@wisterialadder/runtime/http/early_listener.js';
 import {splitAddress} from '@wisterialadder/runtime/http/http_server.js';
 import type {Disposable} from '@wisterialadder/runtime/lifecycle/disposable.js';
 import {breakOff} from './break_off.js';
 import type {CallerCodec} from './caller_codec.js';
 import type {CallerHead} from './caller_head.js';
+import {close, listen} from './caller_listener.js';
 import type {CallerRequest} from './caller_request.js';
 import type {OpenRequests} from './open_requests.js';
 import {readBody} from './read_body.js';
@@ -36,8 +32,6 @@
 
 /** Time for which a server that ends refuses what still arrives. */
 const REFUSING_MS = 100;
-/** Time until a server that ends closes connections that are still open. */
-const CLOSE_TIMEOUT_MS = 400;
 
 /** HTTP server for requests of callers. */
 export interface CallerServer extends Disposable {
@@ -189,43 +183,3 @@
     method.length + target.length,
   );
 }
-
-async function listen(server: Server, address: string): Promise<void> {
-  const early = takeEarlyListener(address);
-  if (early) return adopt(server, early);
-  const {host, port} = splitAddress(address);
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, resolve);
-  });
-  server.removeAllListeners('error');
-}
-
-/** Leaves callers a moment to finish what they are sending. */
-function close(server: Server): Promise<void> {
-  return new Promise(resolve => {
-    const limit = setTimeout(
-      () => server.closeAllConnections(),
-      CLOSE_TIMEOUT_MS,
-    );
-    server.close(() => {
-      clearTimeout(limit);
-      resolve();
-    });
-    server.closeIdleConnections();
-  });
-}
-
-/** Takes over a listening socket and the connections that it has accepted. */
-async function adopt(
-  server: Server,
-  {server: listening, sockets}: EarlyListener,
-): Promise<void> {
-  await new Promise<void>(resolve => server.listen(listening, resolve));
-  for (const socket of sockets) {
-    if (socket.destroyed) continue;
-    socket.removeAllListeners('error');
-    server.emit('connection', socket);
-    socket.resume();
-  }
-}
--- a/packages/gateway/src/endpoints/attempt_handler.ts
+++ b/packages/gateway/src/endpoints/attempt_handler.ts
@@ -3,10 +3,11 @@
 import type {StartAttempt} from '@wisterialadder/core/gateway/actions/start_attempt.js';
 import type {AttemptFailure} from '@wisterialadder/core/types/attempt_failure.js';
 import type {ReceivedAnswer} from '../callers/open_request.js';
+import {createBodyCollector} from '../shared/body_collector.js';
+import {createAnswerDiscard} from './answer_discard.js';
 import type {AttemptSink} from './attempt_sink.js';
-import type {ConnectionLease} from './connection_pool.js';
 import type {ByteBudget} from './byte_budget.js';
-import {createBodyCollector} from '../shared/body_collector.js';
+import type {ConnectionLease} from './connection_pool.js';
 import type {EndpointCodec} from './endpoint_codec.js';
 import {createPieceFramer} from './piece_framer.js';
 import type {ParsedAnswer} from './parsed_answer.js';
@@ -15,9 +16,6 @@
 const LENGTH_HEADERS = ['content-length', 'transfer-encoding'];
 /** Largest body of an answer that is not a stream. */
 const MAX_ANSWER_BYTES = 16_777_216;
-/** Largest body that is read so that its connection can be used again. */
-const MAX_DISCARDED_BYTES = 65_536;
-const DISCARD_TIMEOUT_MS = 1_000;
 /**
  * Bytes beyond the content of an answer: heads, chunk sizes, comments. Chunks
  * of a single byte have five bytes of framing each.
@@ -57,9 +55,8 @@
   let sent = false;
   let finished = false;
   let delimited = true;
-  /** Set while the body of an answer is read that nobody needs. */
-  let discardTimer: NodeJS.Timeout | undefined;
   let answer: ParsedAnswer | undefined;
+  const discard = createAnswerDiscard(lease);
   const body = createBodyCollector();
   const bytesBefore = lease.connection.receivedBytes();
   let contentBytes = 0;
@@ -103,15 +100,14 @@
   /** The head says it all; the body is read for the connection only. */
   function reportNotRun(verdict: AttemptFailure, atFault: string): void {
     finish();
-    discardTimer = setTimeout(lease.discard, DISCARD_TIMEOUT_MS);
-    discardTimer.unref();
+    discard.begin();
     sink.failed(verdict, '', atFault);
   }
 
   function data(bytes: Buffer): void {
-    contentBytes += bytes.length;
-    if (discardTimer) return discard();
+    if (discard.begun()) return discard.received(bytes.length);
     if (finished || !answer) return;
+    contentBytes += bytes.length;
     if (!answer.head.streamed) return collect(bytes);
     try {
       for (const {id, payload} of framer.feed(bytes)) {
@@ -131,12 +127,6 @@
     body.append(bytes);
   }
 
-  function discard(): void {
-    if (contentBytes <= MAX_DISCARDED_BYTES) return;
-    clearTimeout(discardTimer);
-    lease.discard();
-  }
-
   function checkOverhead(): void {
     const receivedBytes = lease.connection.receivedBytes() - bytesBefore;
     const maxBytes = MAX_OVERHEAD_BYTES + contentBytes * MAX_OVERHEAD_FACTOR;
@@ -145,7 +135,7 @@
 
   /** An answer without a length is complete only if it was not reset. */
   function responseEnded(): void {
-    if (discardTimer) return reuseConnection();
+    if (discard.begun()) return discard.ended(answer?.keepAliveMs);
     if (delimited || finished) return complete();
     void lease.connection.closedByEndpoint().then(closed => {
       if (closed) complete();
@@ -153,11 +143,6 @@
     });
   }
 
-  function reuseConnection(): void {
-    clearTimeout(discardTimer);
-    lease.release(answer?.keepAliveMs);
-  }
-
   function complete(): void {
     if (finished) return;
     if (!answer) return fail('broken', 'no answer');
@@ -187,7 +172,7 @@
     onResponseData: (_controller, bytes) => data(bytes),
     onResponseEnd: responseEnded,
     onResponseError: (_controller, err) => {
-      clearTimeout(discardTimer);
+      discard.failed();
       fail(failureReason(err), err.message);
     },
     checkOverhead,
--- a/packages/gateway/src/peers/datagram_codec.test.ts
+++ b/packages/gateway/src/peers/datagrams.test.ts
@@ -7,7 +7,8 @@
 import type {EntryChange} from '@wisterialadder/core/registry/entry_change.js';
 import type {WorkNotice} from '@wisterialadder/core/fleet/messages/work_notice.js';
 import {DatagramSchema} from '../gen/gateway_pb.js';
-import {decodeDatagram, encodeDatagram} from './datagram_codec.js';
+import {decodeDatagram} from './decode_datagram.js';
+import {encodeDatagram} from './encode_datagram.js';
 import type {DatagramMessage} from './datagram_message.js';
 
 const COUNT = fc.nat(1_000_000);
--- /dev/null
+++ b/packages/gateway/src/peers/decode_datagram.ts
@@ -0,0 +1,99 @@
+import {fromBinary} from '@bufbuild/protobuf';
+import type {EntryChange} from '@wisterialadder/core/registry/entry_change.js';
+import {isAddress} from '@wisterialadder/runtime/http/is_address.js';
+import {
+  DatagramSchema,
+  type Datagram,
+  type EntryChange as WireChange,
+} from '../gen/gateway_pb.js';
+import type {DatagramMessage} from './datagram_message.js';
+import type {DecodedDatagram} from './decoded_datagram.js';
+
+/** Decodes a datagram; returns undefined if it is malformed. */
+export function decodeDatagram(bytes: Uint8Array): DecodedDatagram | undefined {
+  try {
+    const datagram = fromBinary(DatagramSchema, bytes);
+    const message = decodeMessage(datagram);
+    if (!message) return undefined;
+    const {fleet, incarnation} = datagram;
+    return {fleet, incarnation: safeNumber(incarnation), message};
+  } catch {
+    // Any process can send bytes to the port, so malformed ones are dropped.
+    return undefined;
+  }
+}
+
+/** @throws {RangeError} if the value is too large for a whole number */
+function safeNumber(value: bigint): number {
+  const number = Number(value);
+  if (Number.isSafeInteger(number)) return number;
+  throw new RangeError(`${value} is too large`);
+}
+
+function decodeMessage({message}: Datagram): DatagramMessage | undefined {
+  switch (message.case) {
+    case 'beat':
+      return {kind: 'beat', ...message.value};
+    case 'workUpdate':
+      return {kind: 'work_update', ...message.value};
+    case 'fleetDigest':
+      return {
+        kind: 'fleet_digest',
+        passOn: message.value.passOn,
+        changes: message.value.changes.filter(hasAddress).map(change => ({
+          ...change,
+          incarnation: safeNumber(change.incarnation),
+        })),
+        beats: message.value.beats.filter(hasAddress).map(beat => ({
+          ...beat,
+          incarnation: safeNumber(beat.incarnation),
+        })),
+      };
+    case 'storeNews':
+      return {
+        kind: 'store_news',
+        configurationOffset: safeNumber(message.value.configurationOffset),
+        registryOffset: safeNumber(message.value.registryOffset),
+        registryFromOffset: safeNumber(message.value.registryFromOffset),
+        changes: message.value.changes.map(decodeEntryChange),
+        ageMs: message.value.ageMs,
+      };
+    case 'endpointDoubt':
+      return {kind: 'endpoint_doubt', ...message.value};
+    case 'endpointLeaving':
+      return {
+        kind: 'endpoint_leaving',
+        endpoint: message.value.endpoint,
+        startedAtMs: safeNumber(message.value.startedAtMs),
+      };
+    default:
+      return undefined;
+  }
+}
+
+/** Whether messages can be sent to the member. */
+function hasAddress({member}: {member: string}): boolean {
+  return isAddress(member);
+}
+
+function decodeEntryChange({id, entry, unreadable}: WireChange): EntryChange {
+  if (entry && !isAddress(entry.address)) {
+    return {id, entry: undefined, unreadable: true};
+  }
+  if (!entry) return {id, entry: undefined, unreadable};
+  return {
+    id,
+    unreadable,
+    entry: {
+      id,
+      service: entry.service,
+      address: entry.address,
+      failureDomain: entry.failureDomain,
+      slots: entry.slots,
+      state: entry.leaving ? 'leaving' : 'ready',
+      warmUpMs: entry.warmUpMs,
+      sequence: safeNumber(entry.sequence),
+      startedAtMs: safeNumber(entry.startedAtMs),
+    },
+  };
+}
--- a/packages/gateway/src/peers/peer_link.ts
+++ b/packages/gateway/src/peers/peer_link.ts
@@ -4,7 +4,8 @@
 import {isAddress} from '@wisterialadder/runtime/http/is_address.js';
 import type {Disposable} from '@wisterialadder/runtime/lifecycle/disposable.js';
 import {startPeerTransport} from '@wisterialadder/runtime/peers/peer_transport.js';
-import {decodeDatagram, encodeDatagram} from './datagram_codec.js';
+import {decodeDatagram} from './decode_datagram.js';
+import {encodeDatagram} from './encode_datagram.js';
 import {decodeCall} from './decode_call.js';
 import {openDatagramSocket} from './datagram_socket.js';
 
