--- a/packages/core/src/forwarding/capacity_wait.test.ts
+++ b/packages/core/src/forwarding/capacity_wait.test.ts
@@ -141,4 +141,6 @@
   const refused = readyGateway(known).step(requestArrived(stream));
   assert.equal(refusal(refused), 'overloaded');
   assert.ok(started(readyGateway(known).step(requestArrived(short))));
+  const resumed = requestArrived({...stream, resumeAfter: 28});
+  assert.ok(started(readyGateway(known).step(resumed)));
 });
--- a/packages/core/src/forwarding/serves_in_time.ts
+++ b/packages/core/src/forwarding/serves_in_time.ts
@@ -19,7 +19,7 @@
   const {startInMs} = choice;
   const sentMs = nowMs + startInMs;
   if (startInMs > 0 && sentMs >= targetEndMs(req)) return false;
-  return nowMs + neededMs(choice) < req.deadlineMs;
+  return nowMs + neededMs(req, choice) < req.deadlineMs;
 }
 
 /**
@@ -34,12 +34,17 @@
   best: EndpointChoice,
 ): boolean {
   const leftMs = req.deadlineMs - nowMs;
-  return leftMs < req.route.targetMs && neededMs(best) >= leftMs;
+  return leftMs < req.route.targetMs && neededMs(req, best) >= leftMs;
 }
 
 /** Time that an answer needs to be whole, even if it is a short one. */
-function neededMs({expectedMs, expectedEndMs}: EndpointChoice): number {
-  return expectedMs + (expectedEndMs - expectedMs) * SHORT_STREAM_SHARE;
+function neededMs(
+  req: ForwardedRequest,
+  {expectedMs, expectedGaps, baselineGapMs}: EndpointChoice,
+): number {
+  // A resumed stream goes on behind the last piece that its caller has.
+  const gaps = Math.max(0, expectedGaps * SHORT_STREAM_SHARE - req.lastPiece);
+  return expectedMs + gaps * baselineGapMs;
 }
 
 /** Time at which the first piece of a request is due. Steady clock. */
--- a/packages/core/src/spread/endpoint_choice.ts
+++ b/packages/core/src/spread/endpoint_choice.ts
@@ -12,10 +12,10 @@
   startInMs: number;
   /** Expected time to the first piece, or to the answer, in milliseconds. */
   expectedMs: number;
-  /** Expected time to the last piece if nothing delays the stream. */
-  expectedEndMs: number;
   /** Gap between two pieces on a healthy engine; 0 if not a stream. */
   baselineGapMs: number;
+  /** Expected number of gaps of the whole stream; 0 if not a stream. */
+  expectedGaps: number;
   /** Expected loss of value, see `requestValue`. */
   loss: number;
   reason: string;
--- a/packages/core/src/spread/least_loss.ts
+++ b/packages/core/src/spread/least_loss.ts
@@ -142,16 +142,14 @@
       mainLoss(this.profile, this.failureDomain, req, main, plan) +
       requestLoss(req, expectedMs) +
       helpers.length * LOSS_PER_HELPER;
-    const baselineGapMs = passMs(this.profile, 1, req.promptTokens / width);
-    const gaps = req.outputTokens / this.profile.stepsPerPass;
     return {
       main: main.entry,
       helpers: helpers.map(({entry}) => entry),
       helperTokens,
       startInMs: Math.round(startInMs),
       expectedMs: Math.round(expectedMs),
-      expectedEndMs: Math.round(expectedMs + gaps * baselineGapMs),
-      baselineGapMs,
+      baselineGapMs: passMs(this.profile, 1, req.promptTokens / width),
+      expectedGaps: req.outputTokens / this.profile.stepsPerPass,
       loss: Math.round(loss * 1_000) / 1_000,
       reason: `least loss on ${width} of ${candidates.length}`,
     };
--- a/packages/core/src/spread/least_work.ts
+++ b/packages/core/src/spread/least_work.ts
@@ -34,8 +34,8 @@
       helperTokens: 0,
       startInMs: 0,
       expectedMs: 0,
-      expectedEndMs: 0,
       baselineGapMs: 0,
+      expectedGaps: 0,
       loss: 0,
       reason,
     };
--- a/packages/core/src/store_watch/store_watch.test.ts
+++ b/packages/core/src/store_watch/store_watch.test.ts
@@ -274,3 +274,10 @@
   const actions = gateway.step(skipped as GatewayEvent);
   assert.ok(messages(actions).includes('state_pull'));
 });
+
+test('a gateway that reads its first configuration pulls no copy', () => {
+  const gateway = startedGateway();
+  gateway.step(fromPeer(readerHeartbeat()));
+  const actions = gateway.step(configurationRead(configuration()));
+  assert.ok(!messages(actions).includes('state_pull'));
+});
--- a/packages/core/src/store_watch/store_watch.ts
+++ b/packages/core/src/store_watch/store_watch.ts
@@ -122,13 +122,15 @@
     const advanced = event.nextOffset > (position.next ?? 0);
     position.next = Math.max(position.next ?? 0, event.nextOffset);
     position.mustList = false;
-    if (event.unreadable)
+    if (event.unreadable) {
       unreadable.configurationSkipped(ctx, event.nextOffset);
+      // A peer may have the version before.
+      if (!configuration.current()) copies.pullFromAny(ctx);
+    }
     const {configuration: next} = event;
     if (next && adoptConfiguration(ctx, configuration, next, 'store')) {
       parts.configurationChanged(ctx);
     }
-    if (!loaded()) copies.pullFromAny(ctx);
     if (advanced || positions.registry.readSentMs === undefined) broadcast(ctx);
   }
 
