--- a/packages/core/src/endpoint_hints/endpoint_hints.test.ts
+++ b/packages/core/src/endpoint_hints/endpoint_hints.test.ts
@@ -209,3 +209,19 @@
   const address = endpointEntry({id: paused ?? ''}).address;
   assert.ok(!attempt.helpers.some(helper => helper.address === address));
 });
+
+test('hints are logged and counted with what they mean', () => {
+  const {gateway, main} = withRunning();
+  const actions = gateway.step(hinted({leaving: true, pauseMs: 250}));
+  const lines = actions.flatMap(action =>
+    action.kind === 'write_log' ? [[action.event, action.fields]] : [],
+  );
+  assert.deepEqual(lines, [
+    ['WL8203', {endpoint: main, pauseMs: 250}],
+    ['WL8202', {endpoint: main, source: 'answer'}],
+  ]);
+  const counted = actions.flatMap(action =>
+    action.kind === 'observe' ? [action.labels['hint']] : [],
+  );
+  assert.deepEqual(counted, ['pause', 'leaving']);
+});
--- a/packages/core/src/endpoint_hints/hint_handler.ts
+++ b/packages/core/src/endpoint_hints/hint_handler.ts
@@ -41,7 +41,9 @@
     if (pauseMs !== undefined && pauseMs > 0) pause(ctx, endpoint, pauseMs);
     if (!leaving) return;
     const {id, startedAtMs} = endpoint;
-    if (markLeaving(ctx, id, startedAtMs, 'answer')) tellPeers(ctx, endpoint);
+    if (!markLeaving(ctx, id, startedAtMs, 'answer')) return;
+    count(ctx, 'leaving');
+    tellPeers(ctx, endpoint);
   }
 
   function pause(
@@ -52,6 +54,7 @@
     const pauseMs = Math.round(pauses.record(ctx.nowMs, endpoint, askedMs));
     const fields = {endpoint: endpoint.id, pauseMs};
     ctx.emit({kind: 'write_log', event: 'WL8203', fields});
+    count(ctx, 'pause');
   }
 
   function markLeaving(
@@ -88,3 +91,8 @@
     },
   };
 }
+
+function count(ctx: GatewayContext, hint: 'leaving' | 'pause'): void {
+  const metric = 'endpoint_hints_total';
+  ctx.emit({kind: 'observe', metric, labels: {hint}, value: 1});
+}
--- a/packages/core/src/shared/metrics.ts
+++ b/packages/core/src/shared/metrics.ts
@@ -105,4 +105,14 @@
     help: 'Milliseconds from arrival to the first piece, by service.',
     labels: ['service'],
   },
+  endpoint_hints_total: {
+    type: 'counter',
+    help: 'Endpoints that said in an answer that they leave or want a pause.',
+    labels: ['hint'],
+  },
+  unreadable_records_total: {
+    type: 'counter',
+    help: 'Records of the store that were left out and logged.',
+    labels: [],
+  },
 } as const;
--- a/packages/core/src/store_watch/unreadable_records.ts
+++ b/packages/core/src/store_watch/unreadable_records.ts
@@ -20,6 +20,8 @@
   function report(ctx: GatewayContext, record: string): void {
     const fields = {record: record.slice(0, MAX_LOGGED_ID_LENGTH)};
     ctx.emit({kind: 'write_log', event: 'WL8004', fields});
+    const metric = 'unreadable_records_total';
+    ctx.emit({kind: 'observe', metric, labels: {}, value: 1});
   }
 
   return {
