--- a/scripts/measure_gossip.mjs
+++ b/scripts/measure_gossip.mjs
@@ -7,7 +7,7 @@
 import {clearInterval, setInterval} from 'node:timers';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {hash32} from '../packages/core/dist/shared/hash32.js';
-import {encodeDatagram} from '../packages/gateway/dist/peers/datagram_codec.js';
+import {encodeDatagram} from '../packages/gateway/dist/peers/encode_datagram.js';
 import {startGatewayFleet} from './fleet/gateway_fleet.mjs';
 
 const TICKS_PER_SECOND = 100;
