Keep events that come before the loop observes its sources

Cause, found by reading the change: events that are pushed before the loop runs had no listener and were lost, with their place in the bound. A caller whose request came in the few turns between the start of its server and the loop got no answer; since connections wait at a socket that listens early, that is the usual case after all gateways were down.

Change: a source keeps such events and delivers them first.

--- a/packages/gateway/src/endpoints/attempt_handler.ts
+++ b/packages/gateway/src/endpoints/attempt_handler.ts
@@ -112,8 +112,12 @@
     try {
       for (const {id, payload} of framer.feed(bytes)) {
         // Comments and repetitions carry nothing, however many there are.
-        if (id <= lastPiece) contentBytes -= payload.length;
-        else sink.piece((lastPiece = id), payload);
+        if (id <= lastPiece) {
+          contentBytes -= payload.length;
+          continue;
+        }
+        lastPiece = id;
+        sink.piece(id, payload);
       }
     } catch (err) {
       fail('broken', (err as Error).message);
--- a/packages/runtime/src/loop/event_source.ts
+++ b/packages/runtime/src/loop/event_source.ts
@@ -19,12 +19,24 @@
 /**
  * Creates a source. `most` delivers after the pushing code returns, so events
  * pushed in one turn are buffered until the next; `maxPending` bounds them.
+ * Events that are pushed before the loop observes the stream are kept for it.
  */
 export function createEventSource<E>(
   maxPending: number = DEFAULT_MAX_PENDING,
 ): EventSource<E> {
   const emitter = new EventEmitter();
   let pending = 0;
+  /** Undefined once the stream is observed. */
+  let unobserved: E[] | undefined = [];
+
+  function deliverUnobserved(): void {
+    const events = unobserved ?? [];
+    unobserved = undefined;
+    for (const event of events) emitter.emit('event', event);
+  }
+
+  // Emitted before the listener is added.
+  emitter.once('newListener', () => queueMicrotask(deliverUnobserved));
 
   const stream = fromEvent<E>('event', emitter).tap(() => {
     pending -= 1;
@@ -34,7 +46,8 @@
     push: event => {
       if (pending >= maxPending) return false;
       pending += 1;
-      emitter.emit('event', event);
+      if (unobserved) unobserved.push(event);
+      else emitter.emit('event', event);
       return true;
     },
     stream,
