--- a/packages/core/src/forwarding/dispatcher.ts
+++ b/packages/core/src/forwarding/dispatcher.ts
@@ -8,9 +8,9 @@
 import type {ForwardedRequest} from './forwarded_request.js';
 import type {PlannedStart} from './planned_start.js';
 import type {RequestEnd} from './request_end.js';
-import {capacityWaitEndMs, pauseWaitEndMs} from './capacity_wait.js';
-import {logNoRoute, logRoute} from './route_log.js';
-import {isTooLate, servesInTime, targetEndMs} from './serves_in_time.js';
+import {createCapacityWait} from './capacity_wait.js';
+import {logRoute} from './route_log.js';
+import {servesInTime, targetEndMs} from './serves_in_time.js';
 
 /** Planning a start does not pay for shorter waits. */
 const MIN_PLANNED_WAIT_MS = 15;
@@ -20,9 +20,6 @@
 /** Sets of engines that are asked for a memory reservation per request. */
 const MAX_RESERVATION_ROUNDS = 4;
 
-/** Interval of capacity checks, which cost processor time. */
-const CAPACITY_CHECK_INTERVAL_MS = 50;
-
 /** Sends requests to endpoints: now, as planned, or once there is capacity. */
 export interface Dispatcher {
   dispatch(ctx: GatewayContext, req: ForwardedRequest): void;
@@ -50,6 +47,7 @@
 export function createDispatcher(parts: DispatcherParts): Dispatcher {
   const {requests, configuration, selection, reservations, end} = parts;
   const {start, announceWork} = createAttemptStart(parts);
+  const capacity = createCapacityWait(parts);
 
   function dispatch(ctx: GatewayContext, req: ForwardedRequest): void {
     const {nowMs, random} = ctx;
@@ -63,7 +61,7 @@
       random,
     );
     if (!choice || !servesInTime(nowMs, req, choice)) {
-      return awaitCapacity(ctx, req, choice);
+      return capacity.awaitOrRefuse(ctx, req, choice);
     }
     req.nextCapacityCheckMs = undefined;
     if (choice.startInMs >= MIN_PLANNED_WAIT_MS)
@@ -71,44 +69,6 @@
     reserveOrStart(ctx, req, choice);
   }
 
-  /**
-   * Keeps a request waiting for a while until an endpoint has capacity.
-   * @param slow the best choice, if it cannot serve the request in time
-   */
-  function awaitCapacity(
-    ctx: GatewayContext,
-    req: ForwardedRequest,
-    slow: EndpointChoice | undefined,
-  ): void {
-    const {nowMs} = ctx;
-    if (req.nextCapacityCheckMs === undefined) {
-      const pool = selection.pool(nowMs, req.service);
-      logNoRoute(ctx, req, pool, slow, configuration.version());
-    }
-    const resumeMs = selection.pausedUntilMs(nowMs, req.service);
-    if (resumeMs !== undefined) return awaitPauseEnd(ctx, req, resumeMs);
-    const waitEndMs = capacityWaitEndMs(req);
-    const hopeless = slow && isTooLate(nowMs, req, slow);
-    if (hopeless || nowMs >= waitEndMs) return end.failUnserved(ctx, req);
-    req.nextCapacityCheckMs = Math.min(
-      nowMs + CAPACITY_CHECK_INTERVAL_MS,
-      waitEndMs,
-    );
-  }
-
-  /**
-   * All endpoints asked for a pause. The request waits for the first end if
-   * that may be in time; otherwise it is refused until then.
-   */
-  function awaitPauseEnd(
-    ctx: GatewayContext,
-    req: ForwardedRequest,
-    resumeMs: number,
-  ): void {
-    if (resumeMs < pauseWaitEndMs(req)) req.nextCapacityCheckMs = resumeMs;
-    else end.failUnserved(ctx, req, resumeMs - ctx.nowMs);
-  }
-
   /** Plans a start on engines that prefill other prompts first. */
   function planStart(
     ctx: GatewayContext,
--- a/packages/core/src/spread/endpoint_selection.ts
+++ b/packages/core/src/spread/endpoint_selection.ts
@@ -3,8 +3,6 @@
 import type {EndpointPauses} from '../endpoint_hints/endpoint_pauses.js';
 import type {EndpointHealth} from '../endpoint_health/endpoint_health.js';
 import {estimateLoad, STRICT_GAP_MS} from '../engine_model/estimate_load.js';
-import {prefillPartMs} from '../engine_model/prefill_cost.js';
-import type {Work} from '../fleet/work.js';
 import type {WorkIndex} from '../fleet/work_index.js';
 import type {EndpointEntry} from '../registry/endpoint_entry.js';
 import type {EndpointRegistry} from '../registry/endpoint_registry.js';
@@ -15,11 +13,12 @@
 import type {EndpointChooser} from './endpoint_chooser.js';
 import {LeastLoss} from './least_loss.js';
 import {LeastWork} from './least_work.js';
+import {createPrefillBacklog, type PrefillBacklog} from './prefill_backlog.js';
 import {sampleEntries} from './sample_entries.js';
 import type {PoolReport} from './pool_report.js';
 
 /** Selects endpoints for requests among those that may take work. */
-export interface EndpointSelection {
+export interface EndpointSelection extends PrefillBacklog {
   select(
     nowMs: number,
     service: string,
@@ -36,21 +35,6 @@
   pausedUntilMs(nowMs: number, service: string): number | undefined;
   /** Whether all endpoints of a choice may still take work. */
   isUsable(nowMs: number, service: string, choice: EndpointChoice): boolean;
-  /**
-   * Time until the engines of a choice finish the prefills they have begun.
-   * @param own the work that the choice is for, which is not counted
-   */
-  backlogMs(
-    nowMs: number,
-    service: string,
-    choice: EndpointChoice,
-    own: Work | undefined,
-  ): number;
-  /**
-   * Full duration of all prefills that are active on an engine; progress made
-   * so far is not deducted.
-   */
-  activePrefillMs(service: string, endpoint: string): number;
 }
 
 /** Dependencies of the selection. */
@@ -100,35 +84,6 @@
     return {entry, inFlight: works.length, load};
   }
 
-  function activePrefillMs(service: string, endpoint: string): number {
-    const profile = configuration.service(service)?.engine;
-    if (!profile) return 0;
-    let sumMs = 0;
-    for (const {decoding, promptTokens, helpers} of workIndex.onEndpoint(
-      endpoint,
-    )) {
-      if (decoding) continue;
-      sumMs += prefillPartMs(profile, promptTokens, helpers.length + 1);
-    }
-    return sumMs * health.slowdown(endpoint);
-  }
-
-  function backlogMs(
-    nowMs: number,
-    service: string,
-    {main, helpers}: EndpointChoice,
-    own: Work | undefined,
-  ): number {
-    const profile = configuration.service(service)?.engine;
-    if (!profile) return 0;
-    const backlogs = [main, ...helpers].map(({id}) => {
-      const works = [...workIndex.onEndpoint(id)].filter(work => work !== own);
-      const slowdown = health.slowdown(id);
-      return estimateLoad(id, profile, works, slowdown, nowMs).backlogMs;
-    });
-    return Math.max(...backlogs);
-  }
-
   /** Endpoints that may take work and did not ask for a pause. */
   function available(nowMs: number, service: string): EndpointEntry[] {
     return registry
@@ -168,8 +123,7 @@
         ({id}) => ids.has(id) && !health.isEjected(id, nowMs),
       );
     },
-    backlogMs,
-    activePrefillMs,
+    ...createPrefillBacklog(parts),
     select: (nowMs, service, req, avoid, random) => {
       const spec = configuration.service(service);
       const usable = available(nowMs, service);
