--- a/packages/gateway/src/peers/peer_link.ts
+++ b/packages/gateway/src/peers/peer_link.ts
@@ -38,8 +38,9 @@
     incarnation,
     onMessage: (from, fromIncarnation, call) => {
       const message = decodeCall(call);
-      if (message && isAddress(from))
+      if (message && isAddress(from)) {
         parts.onMessage(from, fromIncarnation, message);
+      } else parts.onError(new Error(`malformed call of ${from}`));
     },
   });
   const socket = await openDatagramSocket(
