Order memory once in a pause, also if an order had no answer

An order without an answer was repeated each half second, also while its engine had asked for a pause. The test that was missing for the longer hold found ten orders in a pause of five seconds; now it is one.

--- a/packages/core/src/tickets/memory_reservations.test.ts
+++ b/packages/core/src/tickets/memory_reservations.test.ts
@@ -161,3 +161,27 @@
   const answers = requested.flatMap(order => settle(gateway, order));
   assert.equal(started(answers), undefined);
 });
+
+test('memory on an engine that asked for a pause is held by one longer order', () => {
+  const gateway = fleetOf(4);
+  const [first, ...others] = startedLarge(gateway);
+  assert.ok(first);
+  const {ticket, endpoint} = first;
+  const hints = {leaving: false, pauseMs: 5_000};
+  const settled = {ticket, endpoint, answer: 'unknown', hints} as const;
+  gateway.step({kind: 'memory_settled', ...settled}, 5);
+  const ordered: OrderMemory[] = [];
+  for (let waitedMs = 0; waitedMs < 5_000; waitedMs += 25) {
+    ordered.push(...orders(gateway.step({kind: 'tick'}, 25), 'reserve'));
+  }
+  const paused = ordered.filter(order => order.endpoint === endpoint);
+  assert.equal(paused.length, 1);
+  assert.ok(paused[0]!.holdMs > 5_000);
+  assert.equal(ordered.indexOf(paused[0]!), 0);
+  for (const other of others) {
+    const renewed = ordered.filter(order => order.endpoint === other.endpoint);
+    assert.ok(renewed.length >= 4);
+  }
+  const after = orders(gateway.step({kind: 'tick'}, 1_300), 'reserve');
+  assert.ok(after.some(order => order.endpoint === endpoint));
+});
--- a/packages/core/src/tickets/memory_reservations.ts
+++ b/packages/core/src/tickets/memory_reservations.ts
@@ -165,12 +165,13 @@
   }
 
   function isOrderDue(nowMs: number, part: EngineReservation): boolean {
-    const sinceMs = nowMs - part.orderedMs;
-    if (part.state === 'pending') return sinceMs >= RETRY_INTERVAL_MS;
-    const paused = parts.pauseEndMs(part.engine) > nowMs;
-    if (!paused) return sinceMs >= RENEW_INTERVAL_MS;
-    const neededMs = Math.min(parts.pauseEndMs(part.engine), nowMs + HOLD_MS);
-    return part.heldUntilMs < neededMs;
+    const pauseEndMs = parts.pauseEndMs(part.engine);
+    if (pauseEndMs > nowMs) {
+      return part.heldUntilMs < Math.min(pauseEndMs, nowMs + HOLD_MS);
+    }
+    const pending = part.state === 'pending';
+    const intervalMs = pending ? RETRY_INTERVAL_MS : RENEW_INTERVAL_MS;
+    return nowMs - part.orderedMs >= intervalMs;
   }
 
   function expire(ctx: GatewayContext): void {
