--- a/packages/core/src/tickets/memory_reservations.test.ts
+++ b/packages/core/src/tickets/memory_reservations.test.ts
@@ -171,7 +171,7 @@
   const settled = {ticket, endpoint, answer: 'unknown', hints} as const;
   gateway.step({kind: 'memory_settled', ...settled}, 5);
   const ordered: OrderMemory[] = [];
-  for (let waitedMs = 0; waitedMs < 5_000; waitedMs += 25) {
+  for (let waitedMs = 25; waitedMs < 5_000; waitedMs += 25) {
     ordered.push(...orders(gateway.step({kind: 'tick'}, 25), 'reserve'));
   }
   const paused = ordered.filter(order => order.endpoint === endpoint);
