--- a/packages/core/src/gateway/gateway_model.test.ts
+++ b/packages/core/src/gateway/gateway_model.test.ts
@@ -16,6 +16,7 @@
 } from '../mocks/gateway_parts.js';
 import {createModelEndpoints} from '../mocks/model_endpoints.js';
 import {peerReceived, workNotice} from '../mocks/peer_parts.js';
+import {createHintChecker} from '../mocks/hint_checker.js';
 import {createInvariantChecker} from '../mocks/invariant_checker.js';
 import {scheduleCount} from '../mocks/schedule_count.js';
 import {createTestRandom} from '../mocks/step_harness.js';
@@ -137,6 +138,7 @@
   });
   const endpoints = createModelEndpoints(createTestRandom(seed));
   const checker = createInvariantChecker();
+  const hints = createHintChecker();
   let arrivals = 0;
   let sequence = 10;
 
@@ -146,8 +148,11 @@
     checker.eventFed(event);
     for (const action of actions) {
       checker.actionTaken(action, nowMs);
+      hints.actionTaken(action, nowMs);
       endpoints.take(nowMs, action);
     }
+    // Due work is handled before the event, so it does not know the hints.
+    hints.eventFed(event, nowMs);
     checker.checkDeadlines(nowMs);
   }
 
--- a/packages/core/src/mocks/invariant_checker.ts
+++ b/packages/core/src/mocks/invariant_checker.ts
@@ -151,7 +151,9 @@
     if (!('attempt' in event)) return;
     const {attempts} = findRequest(event.reqId);
     if (attempts.get(event.attempt) !== 'running') return;
-    if (event.kind === 'piece_received') return;
+    // Neither ends the attempt.
+    if (event.kind === 'piece_received' || event.kind === 'hints_received')
+      return;
     const notRun =
       event.kind === 'attempt_failed' &&
       ['connect_failed', 'said_not_run'].includes(event.failure);
--- a/packages/core/src/mocks/model_endpoints.ts
+++ b/packages/core/src/mocks/model_endpoints.ts
@@ -50,6 +50,7 @@
     if (chance < 0.08) {
       return fail(nowMs + randomBetween(1, 30), action, 'connect_failed');
     }
+    if (random() < 0.06) hint(nowMs + 1, action);
     if (chance < 0.18) {
       const [helper] = action.helpers;
       const atFault = random() < 0.5 ? (helper?.address ?? '') : '';
@@ -64,6 +65,14 @@
     else answer(nowMs, action);
   }
 
+  /** Says that the endpoint leaves, or wants a pause of any length. */
+  function hint(atMs: number, {reqId, attempt}: StartAttempt): void {
+    const leaving = random() < 0.2;
+    const pauseMs = leaving ? undefined : random() * 4_000;
+    const event = {reqId, attempt, hints: {leaving, pauseMs}};
+    pending.push({atMs, event: {kind: 'hints_received', ...event}});
+  }
+
   function answer(nowMs: number, {reqId, attempt}: StartAttempt): void {
     const status = random() < 0.15 ? 500 : 200;
     const event = {kind: 'answer_received', reqId, attempt, status} as const;
