--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -55,6 +55,15 @@
   }
   for (const name of ['SIGINT', 'SIGTERM'])
     process.once(name, () => void end());
+  // An error in a callback must not leave processes behind.
+  for (const name of ['uncaughtException', 'unhandledRejection']) {
+    process.on(name, err => {
+      code = EXIT.notRun;
+      record('not_run', {error: String(err?.stack ?? err)});
+      console.log(`not run: ${err?.stack ?? err}`);
+      void end();
+    });
+  }
   const limit = setTimeout(() => {
     record('time_limit', {});
     console.log('not run: over the time limit');
@@ -80,7 +89,7 @@
     };
     const verdict = await play(stage);
     record('verdict', verdict);
-    code = verdict.broken ? EXIT.broken : EXIT.held;
+    if (!ending) code = verdict.broken ? EXIT.broken : EXIT.held;
     console.log(JSON.stringify(verdict));
   } catch (err) {
     record('not_run', {error: String(err?.stack ?? err)});
