Order registry changes by their offset, and compare copies with the reader's

Cause: each message of the reader repeats all changes of the last 4 s, and a peer applied all of them again whenever the position had advanced. Of [removed, back] the second application removed the engine, and its registration, whose sequence was known, counted as late. Later heartbeats are no change at the reader. Ruled out: lost datagrams (the next message repairs them), and the registry alone (the reader was right).

Change: every change carries the offset of its record, and a record of an id is applied only if it is newer than the last one. Recent changes have no gap, also across a change of the reader. Each message carries a summary of its sender's registry; a gateway at the same position that differs for 750 ms lists the store. The reader lists every 30 s.

Tests that built registry changes name their offsets now; a copy's entries are changes, which the tests of calls follow with equal strictness.

--- a/packages/core/src/fleet/messages/state_copy.ts
+++ b/packages/core/src/fleet/messages/state_copy.ts
@@ -1,5 +1,5 @@
 import type {Configuration} from '../../configuration/configuration.js';
-import type {EndpointEntry} from '../../registry/endpoint_entry.js';
+import type {EntryChange} from '../../registry/entry_change.js';
 
 /** The sender's copy of the configuration and the registry. */
 export interface StateCopy {
@@ -8,7 +8,8 @@
   /** Undefined if the receiver's version is not older. */
   configuration: Configuration | undefined;
   registryOffset: number;
-  entries: EndpointEntry[];
+  /** Everything that is registered. */
+  entries: EntryChange[];
   /** Time since the sender read this, in milliseconds. */
   ageMs: number;
 }
--- a/packages/core/src/fleet/messages/store_news.ts
+++ b/packages/core/src/fleet/messages/store_news.ts
@@ -1,4 +1,5 @@
 import type {EntryChange} from '../../registry/entry_change.js';
+import type {RegistrySummary} from '../../registry/registry_summary.js';
 
 /** Registry changes and offsets that the sender has read from the store. */
 export interface StoreNews {
@@ -9,6 +10,8 @@
   /** `changes` holds every change from this offset on. */
   registryFromOffset: number;
   changes: EntryChange[];
+  /** The sender's registry at `registryOffset`. */
+  summary: RegistrySummary;
   /** Time since the sender read this, in milliseconds. */
   ageMs: number;
 }
--- a/packages/core/src/gateway/gateway_model.test.ts
+++ b/packages/core/src/gateway/gateway_model.test.ts
@@ -96,7 +96,7 @@
     listing: false,
     fromOffset: offset,
     nextOffset: offset + 1,
-    changes: [entryChange(entry)],
+    changes: [entryChange(entry, offset)],
   };
 }
 
--- a/packages/core/src/mocks/fleet_engines.ts
+++ b/packages/core/src/mocks/fleet_engines.ts
@@ -39,6 +39,12 @@
   cancel(gateway: string, action: CancelAttempt): void;
   /** Ends an engine as a loss of power does. */
   stop(engine: string): void;
+  /** An engine that lives is cut off from the store, or reaches it again. */
+  setListed(engine: string, listed: boolean): void;
+  /** All registered engines renew their registrations. */
+  renew(): void;
+  /** Ids of all engines, also of those that are not registered. */
+  ids(): string[];
 }
 
 /** Dependencies of the engines. */
@@ -187,6 +193,23 @@
     }
   }
 
+  function setListed(id: string, listed: boolean): void {
+    const engine = engines.find(({entry}) => entry.id === id);
+    if (!engine?.alive || engine.listed === listed) return;
+    engine.listed = listed;
+    const sequence = engine.entry.sequence + 1;
+    if (listed) engine.entry = {...engine.entry, sequence};
+    parts.registryChanged();
+  }
+
+  function renew(): void {
+    for (const engine of engines.filter(({listed}) => listed)) {
+      const {entry} = engine;
+      engine.entry = {...entry, sequence: entry.sequence + 1};
+    }
+    parts.registryChanged();
+  }
+
   return {
     arrivals,
     crashes,
@@ -199,5 +222,8 @@
       const engine = engines.find(({entry}) => entry.id === id);
       if (engine) end(engine, undefined);
     },
+    setListed,
+    renew,
+    ids: () => engines.map(({entry}) => entry.id),
   };
 }
--- a/packages/core/src/mocks/fleet_store.ts
+++ b/packages/core/src/mocks/fleet_store.ts
@@ -3,8 +3,9 @@
 import type {MemberRecord} from '../fleet/member_record.js';
 import type {QuarantineEntry} from '../quarantine/quarantine_entry.js';
 import type {EndpointEntry} from '../registry/endpoint_entry.js';
-import {configurationRead, registryRead} from './gateway_harness.js';
+import {configurationRead} from './gateway_harness.js';
 import {configuration} from './gateway_parts.js';
+import {createRegistryLog} from './registry_log.js';
 
 /** The store of a fleet test. */
 export interface FleetStore {
@@ -21,9 +22,9 @@
 export function createFleetStore(entries: () => EndpointEntry[]): FleetStore {
   const verdicts = new Map<string, QuarantineEntry>();
   const members = new Map<string, MemberRecord>();
-  let registryOffset = 10;
+  const registry = createRegistryLog(entries());
 
-  function read({call}: ReadStore): GatewayEvent {
+  function read({call, fromOffset}: ReadStore): GatewayEvent {
     if (!store.reachable) {
       return {kind: 'store_failed', call, failure: 'unavailable'};
     }
@@ -31,7 +32,7 @@
       case 'configuration':
         return configurationRead(configuration());
       case 'registry':
-        return registryRead(entries(), registryOffset);
+        return registry.read(fromOffset);
       case 'quarantine':
         return {kind: 'quarantine_read', entries: [...verdicts.values()]};
       default:
@@ -58,9 +59,7 @@
       return {kind: 'quarantine_saved', entry};
     },
     read,
-    registryChanged: () => {
-      registryOffset += 1;
-    },
+    registryChanged: () => registry.update(entries()),
   };
   return store;
 }
--- a/packages/core/src/mocks/gateway_fleet.ts
+++ b/packages/core/src/mocks/gateway_fleet.ts
@@ -36,6 +36,8 @@
   restart(gateway: number): void;
   /** Feeds an event to a gateway. */
   feed(gateway: number, event: GatewayEvent): void;
+  /** Ids of the endpoints that a gateway uses, sorted. */
+  usedBy(gateway: number): string[];
   /** Log events that the gateways wrote, with their fields. */
   logged(event: string): Record<string, unknown>[];
 }
@@ -214,6 +216,13 @@
     addressOf: index => gateways[index]!.address,
     restart,
     feed: (index, event) => feed(gateways[index]!, event),
+    usedBy: index => {
+      const {endpoints} = gateways[index]!.node.status(timeline.nowMs());
+      return endpoints
+        .filter(({standing}) => standing === 'ready' || standing === 'missing')
+        .map(({id}) => id)
+        .sort();
+    },
     logged: wanted =>
       log.filter(({event}) => event === wanted).map(({fields}) => fields),
   };
--- a/packages/core/src/mocks/gateway_harness.ts
+++ b/packages/core/src/mocks/gateway_harness.ts
@@ -69,13 +69,18 @@
     listing: true,
     fromOffset: 0,
     nextOffset,
-    changes: entries.map(entryChange),
+    changes: entries.map(entry => entryChange(entry, nextOffset - 1)),
   };
 }
 
 /** A registration. */
-export function entryChange(entry: EndpointEntry): EntryChange {
-  return {id: entry.id, entry, unreadable: false};
+export function entryChange(entry: EndpointEntry, offset = 0): EntryChange {
+  return {id: entry.id, offset, entry, unreadable: false};
+}
+
+/** The removal of a registration. */
+export function removal(id: string, offset: number): EntryChange {
+  return {id, offset, entry: undefined, unreadable: false};
 }
 
 /** A short generation of the customer `clerks`. */
--- a/packages/core/src/registry/endpoint_registry.test.ts
+++ b/packages/core/src/registry/endpoint_registry.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {entryChange} from '../mocks/gateway_harness.js';
+import {entryChange, removal} from '../mocks/gateway_harness.js';
 import {endpointEntry} from '../mocks/gateway_parts.js';
 import type {EndpointEntry} from './endpoint_entry.js';
 import {
@@ -10,7 +10,7 @@
 
 function registryWith(entry: Partial<EndpointEntry> = {}): EndpointRegistry {
   const registry = createEndpointRegistry();
-  registry.replaceAll(0, [entryChange(endpointEntry(entry))]);
+  registry.replaceAll(0, [entryChange(endpointEntry(entry))], 1);
   return registry;
 }
 
@@ -22,44 +22,44 @@
   const registry = registryWith({sequence: 4});
   registry.apply(
     1,
-    entryChange(endpointEntry({sequence: 6, state: 'leaving'})),
+    entryChange(endpointEntry({sequence: 6, state: 'leaving'}), 1),
   );
-  registry.apply(2, entryChange(endpointEntry({sequence: 5})));
-  registry.apply(3, entryChange(endpointEntry({sequence: 7})));
+  registry.apply(2, entryChange(endpointEntry({sequence: 5}), 2));
+  registry.apply(3, entryChange(endpointEntry({sequence: 7}), 3));
   assert.deepEqual(usable(registry), []);
 });
 
 test('a removed endpoint is usable again by a new record, not by a late one', () => {
   const registry = registryWith({sequence: 4});
-  registry.apply(1, {id: 'e1', entry: undefined, unreadable: false});
-  registry.apply(2, entryChange(endpointEntry({sequence: 4})));
+  registry.apply(1, removal('e1', 1));
+  registry.apply(2, entryChange(endpointEntry({sequence: 4}), 2));
   assert.deepEqual(usable(registry), []);
-  registry.apply(3, entryChange(endpointEntry({sequence: 5})));
+  registry.apply(3, entryChange(endpointEntry({sequence: 5}), 3));
   assert.deepEqual(usable(registry), ['e1']);
 });
 
 test('an endpoint that restarts with the same id replaces the old one', () => {
   const registry = registryWith({sequence: 90, state: 'leaving'});
   const restarted = endpointEntry({sequence: 1, startedAtMs: 2_000});
-  registry.apply(1, entryChange(restarted));
+  registry.apply(1, entryChange(restarted, 1));
   assert.deepEqual(usable(registry), ['e1']);
-  registry.apply(2, entryChange(endpointEntry({sequence: 91})));
+  registry.apply(2, entryChange(endpointEntry({sequence: 91}), 2));
   assert.equal(registry.get('e1')?.entry.startedAtMs, 2_000);
 });
 
 test('an unreadable record affects only its own endpoint, until the next', () => {
   const registry = registryWith();
-  registry.apply(1, entryChange(endpointEntry({id: 'e2'})));
-  registry.apply(2, {id: 'e1', entry: undefined, unreadable: true});
+  registry.apply(1, entryChange(endpointEntry({id: 'e2'}), 1));
+  registry.apply(2, {...removal('e1', 2), unreadable: true});
   assert.deepEqual(usable(registry), ['e2']);
-  registry.apply(3, entryChange(endpointEntry({sequence: 2})));
+  registry.apply(3, entryChange(endpointEntry({sequence: 2}), 3));
   assert.deepEqual(usable(registry).sort(), ['e1', 'e2']);
 });
 
 test('live endpoints dropped by a recovered store are retained for a while', () => {
   const registry = registryWith();
   registry.retainMissingUntil(2_000);
-  registry.replaceAll(100, []);
+  registry.replaceAll(100, [], 2);
   assert.deepEqual(usable(registry), ['e1']);
   assert.deepEqual(registry.expire(1_999), []);
   const gone = registry.expire(2_000).map(({id}) => id);
@@ -70,6 +70,6 @@
 test('a leaving endpoint is not retained when its record is dropped', () => {
   const registry = registryWith({state: 'leaving'});
   registry.retainMissingUntil(2_000);
-  registry.replaceAll(100, []);
+  registry.replaceAll(100, [], 2);
   assert.equal(registry.get('e1')?.state, 'gone');
 });
--- a/packages/core/src/registry/endpoint_registry.ts
+++ b/packages/core/src/registry/endpoint_registry.ts
@@ -1,16 +1,30 @@
 import type {EndpointEntry} from './endpoint_entry.js';
 import type {EntryChange} from './entry_change.js';
 import type {RegisteredEndpoint} from './registered_endpoint.js';
+import type {RegistrySummary} from './registry_summary.js';
 
 /** Time for which ids of endpoints that are gone are kept. */
 const GONE_RETENTION_MS = 600_000;
+/** Sums of start times are kept small, whatever an entry claims. */
+const SUM_MODULUS = 2 ** 32;
 
 /** Registered endpoints, and records of those that are gone. */
 export interface EndpointRegistry {
-  /** Applies a change; returns whether the usable endpoints changed. */
+  /**
+   * Applies a change unless a record of the id that is as new has been applied.
+   * @returns whether the usable endpoints changed
+   */
   apply(nowMs: number, change: EntryChange): boolean;
-  /** Applies a full listing; ids that it does not contain are gone. */
-  replaceAll(nowMs: number, changes: EntryChange[]): boolean;
+  /**
+   * Applies a full listing; ids that it does not contain are gone, unless a
+   * record from `nextOffset` on says otherwise.
+   * @returns the changes of the usable endpoints
+   */
+  replaceAll(
+    nowMs: number,
+    changes: EntryChange[],
+    nextOffset: number,
+  ): EntryChange[];
   /**
    * Records that one start of an endpoint is leaving, which is final for it.
    * @returns whether the usable endpoints changed
@@ -28,6 +42,9 @@
   get(id: string): RegisteredEndpoint | undefined;
   /** Everything that is not gone. */
   entries(): EndpointEntry[];
+  /** Everything that is not gone, as changes of an empty registry. */
+  listing(): EntryChange[];
+  summary(): RegistrySummary;
 }
 
 /** Creates an empty registry. */
@@ -42,29 +59,46 @@
     return changed;
   }
 
-  function replaceAll(nowMs: number, changes: EntryChange[]): boolean {
+  function replaceAll(
+    nowMs: number,
+    changes: EntryChange[],
+    nextOffset: number,
+  ): EntryChange[] {
     const listed = new Set(changes.map(({id}) => id));
-    let changed = false;
-    for (const id of byId.keys()) {
-      if (!listed.has(id)) changed = remove(nowMs, id) || changed;
-    }
-    for (const change of changes) changed = applyOne(nowMs, change) || changed;
-    if (changed) regroup();
-    return changed;
+    // The listing does not tell which record removed an id.
+    const offset = nextOffset - 1;
+    const removals = [...byId.keys()]
+      .filter(id => !listed.has(id))
+      .map(id => ({id, offset, entry: undefined, unreadable: false}));
+    const applied = [...removals, ...changes].filter(change =>
+      applyOne(nowMs, change),
+    );
+    if (applied.length > 0) regroup();
+    return applied;
   }
 
   function applyOne(nowMs: number, change: EntryChange): boolean {
-    if (change.unreadable) return markUnreadable(change.id);
-    if (!change.entry) return remove(nowMs, change.id);
-    return register(nowMs, change.entry);
+    const {id, offset} = change;
+    const known = byId.get(id);
+    if (known) {
+      if (offset <= known.offset) return false;
+      known.offset = offset;
+    }
+    if (change.unreadable) return markUnreadable(id);
+    if (!change.entry) return remove(nowMs, id);
+    return register(nowMs, change.entry, offset);
   }
 
-  function register(nowMs: number, entry: EndpointEntry): boolean {
+  function register(
+    nowMs: number,
+    entry: EndpointEntry,
+    offset: number,
+  ): boolean {
     const known = byId.get(entry.id);
     if (!known || known.entry.startedAtMs !== entry.startedAtMs) {
       // A late record of an earlier start is ignored.
       if (known && entry.startedAtMs < known.entry.startedAtMs) return false;
-      byId.set(entry.id, {entry, state: entry.state, sinceMs: nowMs});
+      byId.set(entry.id, {entry, state: entry.state, offset, sinceMs: nowMs});
       return true;
     }
     if (entry.sequence < known.entry.sequence) return false;
@@ -124,7 +158,8 @@
       if (known.state === 'missing' && nowMs >= retainMissingUntilMs) {
         known.state = 'gone';
         known.sinceMs = nowMs;
-        gone.push({id, entry: undefined, unreadable: false});
+        const {offset} = known;
+        gone.push({id, offset, entry: undefined, unreadable: false});
       } else if (known.state === 'gone' && ageMs >= GONE_RETENTION_MS) {
         byId.delete(id);
       }
@@ -143,6 +178,22 @@
     }
   }
 
+  function present(): RegisteredEndpoint[] {
+    return [...byId.values()].filter(({state}) => state !== 'gone');
+  }
+
+  function summary(): RegistrySummary {
+    // A gateway that starts later knows nothing of an unreadable endpoint.
+    const entries = present()
+      .filter(({state}) => state !== 'unreadable')
+      .map(({entry}) => entry);
+    const startSumMs = entries.reduce(
+      (sum, {startedAtMs}) => (sum + (startedAtMs % SUM_MODULUS)) % SUM_MODULUS,
+      0,
+    );
+    return {endpoints: entries.length, startSumMs};
+  }
+
   return {
     apply,
     replaceAll,
@@ -153,9 +204,13 @@
     expire,
     usable: service => byService.get(service) ?? [],
     get: id => byId.get(id),
-    entries: () =>
-      [...byId.values()]
-        .filter(({state}) => state !== 'gone')
-        .map(({entry}) => entry),
+    entries: () => present().map(({entry}) => entry),
+    listing: () =>
+      present().map(({entry, state, offset}) => {
+        const unreadable = state === 'unreadable';
+        const shown = unreadable ? undefined : entry;
+        return {id: entry.id, offset, entry: shown, unreadable};
+      }),
+    summary,
   };
 }
--- a/packages/core/src/registry/entry_change.ts
+++ b/packages/core/src/registry/entry_change.ts
@@ -6,6 +6,11 @@
  */
 export interface EntryChange {
   id: string;
+  /**
+   * Offset of the record in the store. It orders the changes of one id, whoever
+   * reports them and how often.
+   */
+  offset: number;
   entry: EndpointEntry | undefined;
   unreadable: boolean;
 }
--- a/packages/core/src/registry/registered_endpoint.ts
+++ b/packages/core/src/registry/registered_endpoint.ts
@@ -5,6 +5,8 @@
 export interface RegisteredEndpoint {
   entry: EndpointEntry;
   state: RegistrationState;
+  /** Offset of the newest record of the id that has been applied. */
+  offset: number;
   /** Steady clock; when the state last changed. */
   sinceMs: number;
 }
--- a/packages/core/src/shared/gateway_log_events.ts
+++ b/packages/core/src/shared/gateway_log_events.ts
@@ -20,6 +20,11 @@
     text: 'unreadable record in the store ignored',
     action: 'Find out who writes malformed records; all others are followed.',
   },
+  WL8005: {
+    level: 'warn',
+    text: 'the reader of the store knows other endpoints',
+    action: 'None; the store is read. If it repeats, report a bug.',
+  },
   WL8101: {
     level: 'info',
     text: 'first heartbeat of a gateway received',
--- a/packages/core/src/shared/metrics.ts
+++ b/packages/core/src/shared/metrics.ts
@@ -130,4 +130,14 @@
     help: 'Records of the store that were left out and logged.',
     labels: [],
   },
+  registered_endpoints: {
+    type: 'gauge',
+    help: 'Endpoints that this gateway knows; equal at all gateways.',
+    labels: [],
+  },
+  registry_repairs_total: {
+    type: 'counter',
+    help: 'Reads of the store since the reader knew other endpoints.',
+    labels: [],
+  },
 } as const;
--- a/packages/core/src/store_watch/recent_changes.ts
+++ b/packages/core/src/store_watch/recent_changes.ts
@@ -2,13 +2,23 @@
 
 /** Peers that miss messages for longer read the store themselves. */
 const RETENTION_MS = 4_000;
+/** Peers that lack more changes list everything; a datagram is limited. */
+const MAX_CHANGES = 200;
 
-/** Recent registry changes to send to peers, and the offset they start at. */
+/**
+ * Recent registry changes to send to peers. They lead from the state at
+ * `fromOffset` to that at `nextOffset`, without a gap.
+ */
 export interface RecentChanges {
-  /** Drops all changes; the next ones start at the offset. */
-  restart(offset: number): void;
-  add(nowMs: number, offset: number, changes: EntryChange[]): void;
+  /** Adds changes between two offsets; a gap before them drops earlier ones. */
+  add(
+    nowMs: number,
+    fromOffset: number,
+    nextOffset: number,
+    changes: EntryChange[],
+  ): void;
   fromOffset(): number;
+  nextOffset(): number;
   list(nowMs: number): EntryChange[];
 }
 
@@ -22,6 +32,7 @@
 /** Creates a list without changes. */
 export function createRecentChanges(): RecentChanges {
   let from = 0;
+  let next = 0;
   let batches: Batch[] = [];
 
   function prune(nowMs: number): void {
@@ -31,15 +42,21 @@
   }
 
   return {
-    restart: offset => {
-      from = offset;
-      batches = [];
-    },
-    add: (nowMs, nextOffset, changes) => {
+    add: (nowMs, fromOffset, nextOffset, changes) => {
       prune(nowMs);
+      if (fromOffset !== next) {
+        from = fromOffset;
+        batches = [];
+      }
+      next = nextOffset;
       batches.push({atMs: nowMs, nextOffset, changes});
+      const count = batches.reduce((sum, b) => sum + b.changes.length, 0);
+      if (count <= MAX_CHANGES) return;
+      from = nextOffset;
+      batches = [];
     },
     fromOffset: () => from,
+    nextOffset: () => next,
     list: nowMs => {
       prune(nowMs);
       return batches.flatMap(({changes}) => changes);
--- a/packages/core/src/store_watch/state_copies.ts
+++ b/packages/core/src/store_watch/state_copies.ts
@@ -3,6 +3,7 @@
 import type {StateCopy} from '../fleet/messages/state_copy.js';
 import type {GatewayContext} from '../gateway/gateway_context.js';
 import type {EndpointRegistry} from '../registry/endpoint_registry.js';
+import type {EntryChange} from '../registry/entry_change.js';
 import {adoptConfiguration} from './adopt_configuration.js';
 import {ageOf, type StorePositions} from './store_positions.js';
 
@@ -26,7 +27,7 @@
   configuration: PublishedConfiguration;
   registry: EndpointRegistry;
   configurationChanged(ctx: GatewayContext): void;
-  endpointsChanged(ctx: GatewayContext): void;
+  registryChanged(ctx: GatewayContext, changes: EntryChange[]): void;
 }
 
 /** Creates the exchange of copies. */
@@ -71,7 +72,7 @@
         configurationOffset,
         configuration: current.version > version ? current : undefined,
         registryOffset,
-        entries: registry.entries(),
+        entries: registry.listing(),
         ageMs: ageOf(positions, ctx.nowMs),
       },
     });
@@ -89,15 +90,15 @@
     if (entries.next !== undefined && copy.registryOffset <= entries.next) {
       return;
     }
-    const changes = copy.entries.map(entry => ({
-      id: entry.id,
-      entry,
-      unreadable: false,
-    }));
     entries.next = copy.registryOffset;
     entries.freshMs = Math.max(entries.freshMs, freshMs);
     entries.mustList = true;
-    if (registry.replaceAll(ctx.nowMs, changes)) parts.endpointsChanged(ctx);
+    const changes = registry.replaceAll(
+      ctx.nowMs,
+      copy.entries,
+      copy.registryOffset,
+    );
+    if (changes.length > 0) parts.registryChanged(ctx, changes);
   }
 
   return {pull, pullFromAny, sendCopy, copyReceived};
--- a/packages/core/src/store_watch/store_gossip.ts
+++ b/packages/core/src/store_watch/store_gossip.ts
@@ -3,6 +3,7 @@
 import type {GatewayContext} from '../gateway/gateway_context.js';
 import type {EndpointRegistry} from '../registry/endpoint_registry.js';
 import type {EntryChange} from '../registry/entry_change.js';
+import type {CopyCheck} from './copy_check.js';
 import type {RecentChanges} from './recent_changes.js';
 import type {StateCopies} from './state_copies.js';
 import {ageOf, type StorePositions} from './store_positions.js';
@@ -19,6 +20,7 @@
   members: FleetMembers;
   registry: EndpointRegistry;
   recent: RecentChanges;
+  check: CopyCheck;
   copies: StateCopies;
   reachable(): boolean;
   /** Whether this gateway reads the store for the fleet. */
@@ -29,7 +31,7 @@
 
 /** Creates the gossip about the store. */
 export function createStoreGossip(parts: StoreGossipParts): StoreGossip {
-  const {positions, members, registry, recent, copies} = parts;
+  const {positions, members, registry, recent, check, copies} = parts;
 
   /** Sends what was read to the others, if this gateway is the reader. */
   function broadcast(ctx: GatewayContext): void {
@@ -42,6 +44,10 @@
     if (!parts.isReader(nowMs)) return;
     const to = members.aliveAddresses(nowMs);
     if (to.length === 0) return;
+    // A copy of a peer brings the registry forward without single changes.
+    if (recent.nextOffset() !== registryOffset) {
+      recent.add(nowMs, registryOffset, registryOffset, []);
+    }
     ctx.emit({
       kind: 'send_peers',
       to,
@@ -49,13 +55,52 @@
         kind: 'store_news',
         configurationOffset,
         registryOffset,
-        registryFromOffset: recent.fromOffset(),
-        changes: recent.list(nowMs),
+        ...recentRecords(nowMs),
+        summary: registry.summary(),
         ageMs: ageOf(positions, nowMs),
       },
     });
   }
 
+  /** Listing drops old changes, so that they start at a later offset. */
+  function recentRecords(
+    nowMs: number,
+  ): Pick<StoreNews, 'changes' | 'registryFromOffset'> {
+    const changes = recent.list(nowMs);
+    return {changes, registryFromOffset: recent.fromOffset()};
+  }
+
+  /** Applies what a peer has read further on than this gateway. */
+  function applyChanges(
+    ctx: GatewayContext,
+    known: number,
+    {registryOffset, changes}: StoreNews,
+  ): void {
+    // Older registrations are known; a removal is told late if its reader
+    // retained the endpoint.
+    const applied = changes
+      .filter(({offset, entry}) => offset >= known || !entry)
+      .filter(change => registry.apply(ctx.nowMs, change));
+    if (registryOffset > known) {
+      recent.add(ctx.nowMs, known, registryOffset, applied);
+      positions.registry.next = registryOffset;
+      positions.registry.mustList = true;
+    }
+    if (applied.length > 0) parts.registryChanged(ctx, applied);
+  }
+
+  /** Whether both registries hold the same records, but other endpoints. */
+  function differs(
+    ctx: GatewayContext,
+    from: string,
+    {registryOffset, summary}: StoreNews,
+  ): boolean {
+    return (
+      registryOffset === positions.registry.next &&
+      check.differs(ctx, from, summary, registry.summary())
+    );
+  }
+
   function messageReceived(
     ctx: GatewayContext,
     from: string,
@@ -70,13 +115,12 @@
     const known = entries.next;
     const registryCovered =
       known !== undefined && known >= message.registryFromOffset;
-    if (registryCovered && message.registryOffset > known) {
-      const applied = message.changes.filter(change =>
-        registry.apply(ctx.nowMs, change),
-      );
-      entries.next = message.registryOffset;
+    if (registryCovered && message.registryOffset >= known) {
+      applyChanges(ctx, known, message);
+    }
+    if (differs(ctx, from, message)) {
       entries.mustList = true;
-      if (applied.length > 0) parts.registryChanged(ctx, applied);
+      parts.read(ctx, 'registry');
     }
     if (registryCovered) entries.freshMs = Math.max(entries.freshMs, freshMs);
     if (!configurationBehind && registryCovered) return;
--- a/packages/core/src/store_watch/store_position.ts
+++ b/packages/core/src/store_watch/store_position.ts
@@ -4,6 +4,8 @@
   next: number | undefined;
   /** Whether the next read must list everything. */
   mustList: boolean;
+  /** Steady clock; when everything was listed last. */
+  listedMs: number;
   /** Steady clock; the copy was up to date at this time. */
   freshMs: number;
   /** Steady clock; when the pending read was sent. */
@@ -15,6 +17,7 @@
   return {
     next: undefined,
     mustList: true,
+    listedMs: Number.NEGATIVE_INFINITY,
     freshMs: Number.NEGATIVE_INFINITY,
     readSentMs: undefined,
   };
--- a/packages/core/src/store_watch/store_reader.ts
+++ b/packages/core/src/store_watch/store_reader.ts
@@ -12,6 +12,8 @@
 const STALE_AFTER_MS = 1_050;
 /** Pause between two reads of the other gateways while the store fails. */
 const RETRY_INTERVAL_MS = 1_000;
+/** Endpoints are listed this often, in case that a change was missed. */
+const LIST_INTERVAL_MS = 30_000;
 /** A read without an answer counts as lost after this long. */
 const READ_TIMEOUT_MS = 1_500;
 
@@ -76,9 +78,18 @@
     const position = positions[call];
     if (position.readSentMs !== undefined) return;
     position.readSentMs = ctx.nowMs;
-    const fromOffset = position.mustList ? undefined : position.next;
+    const fromOffset = mustList(ctx.nowMs, call) ? undefined : position.next;
     ctx.emit({kind: 'read_store', call, fromOffset});
   }
 
+  function mustList(
+    nowMs: number,
+    call: 'configuration' | 'registry',
+  ): boolean {
+    const {mustList: needed, listedMs} = positions[call];
+    const overdue = nowMs - listedMs >= LIST_INTERVAL_MS;
+    return needed || (call === 'registry' && overdue);
+  }
+
   return {expire, read, isReader};
 }
--- a/packages/core/src/store_watch/store_watch.test.ts
+++ b/packages/core/src/store_watch/store_watch.test.ts
@@ -13,6 +13,7 @@
   readyGateway,
   refusal,
   registryRead,
+  removal,
   requestArrived,
   started,
   startedGateway,
@@ -38,6 +39,7 @@
     registryOffset: 10,
     registryFromOffset: 10,
     changes: [],
+    summary: {endpoints: 4, startSumMs: 4_000},
     ageMs: 5,
     ...over,
   };
@@ -85,7 +87,7 @@
   const gateway = readyGateway({entries});
   gateway.step(fromPeer(readerHeartbeat()));
   const leaving = endpointEntry({id: 'e1', state: 'leaving', sequence: 2});
-  const changes = [entryChange(leaving)];
+  const changes = [entryChange(leaving, 11)];
   gateway.step(fromPeer(storeGossip({registryOffset: 12, changes})));
   for (let i = 0; i < 8; i++) {
     const actions = gateway.step(requestArrived({reqId: `r${i}`}));
@@ -126,7 +128,7 @@
       configurationOffset: 4,
       configuration: configuration(),
       registryOffset: 9,
-      entries: [endpointEntry()],
+      entries: [entryChange(endpointEntry(), 8)],
       ageMs: 100,
     }),
   );
@@ -175,7 +177,7 @@
     listing: false,
     fromOffset: 10,
     nextOffset: 11,
-    changes: [entryChange(endpointEntry({id: 'e3'}))],
+    changes: [entryChange(endpointEntry({id: 'e3'}), 10)],
   });
   assert.deepEqual(messages(broadcast), ['store_news']);
 });
@@ -231,8 +233,8 @@
 
 test('an unreadable entry is left out, logged once, and all others followed', () => {
   const gateway = readyGateway({entries: []});
-  const odd = {id: 'odd', entry: undefined, unreadable: true};
-  const added = entryChange(endpointEntry({id: 'e7'}));
+  const odd = {...removal('odd', 10), unreadable: true};
+  const added = entryChange(endpointEntry({id: 'e7'}), 11);
   const first = gateway.step(registryAppended(10, [odd, added, odd]));
   assert.deepEqual(reported(first), ['odd']);
   const again = gateway.step(registryAppended(13, [odd]));
@@ -245,8 +247,7 @@
 test('the names of unreadable entries take bounded memory and log space', () => {
   const gateway = readyGateway();
   const odd = Array.from({length: 5_000}, (_, i) => ({
-    id: `${i}`.padEnd(255, 'x'),
-    entry: undefined,
+    ...removal(`${i}`.padEnd(255, 'x'), 10 + i),
     unreadable: true,
   }));
   const lines = reported(gateway.step(registryAppended(10, odd)));
@@ -281,3 +282,95 @@
   const actions = gateway.step(configurationRead(configuration()));
   assert.ok(!messages(actions).includes('state_pull'));
 });
+
+/** A gateway that knows one endpoint less than the reader of the store. */
+function withMissingEndpoint() {
+  const gateway = readyGateway({entries: [endpointEntry({id: 'e1'})]});
+  gateway.step(fromPeer(readerHeartbeat()));
+  const summary = {endpoints: 2, startSumMs: 2_000};
+  return {gateway, news: fromPeer(storeGossip({summary}))};
+}
+
+// Nothing ever corrected a gateway that had lost an endpoint.
+test('LOST: a gateway that knows other endpoints than the reader lists the store within a second', () => {
+  const {gateway, news} = withMissingEndpoint();
+  assert.deepEqual(reads(gateway.step(news)), []);
+  assert.deepEqual(reads(gateway.step(news, 500)), []);
+  const late = gateway.step(news, 500);
+  const [read] = reads(late);
+  assert.deepEqual([read?.call, read?.fromOffset], ['registry', undefined]);
+  const told = late.flatMap(action =>
+    action.kind === 'write_log' ? [[action.event, action.fields]] : [],
+  );
+  assert.deepEqual(told, [
+    ['WL8005', {reader: READER, endpoints: 1, readerEndpoints: 2}],
+  ]);
+});
+
+test('a difference that the next message settles is no reason to read', () => {
+  const {gateway, news} = withMissingEndpoint();
+  gateway.step(news);
+  const summary = {endpoints: 1, startSumMs: 1_000};
+  gateway.step(fromPeer(storeGossip({summary})), 500);
+  assert.deepEqual(reads(gateway.step(news, 500)), []);
+});
+
+test('a summary at another position says nothing about the copy', () => {
+  const {gateway} = withMissingEndpoint();
+  const summary = {endpoints: 2, startSumMs: 2_000};
+  const late = fromPeer(storeGossip({summary, registryOffset: 9}));
+  for (let i = 0; i < 4; i++) {
+    assert.deepEqual(reads(gateway.step(late, 300)), []);
+  }
+});
+
+test('a reader that never missed a record lists the registry now and then', () => {
+  const gateway = readyGateway();
+  const listings: number[] = [];
+  for (let i = 0; i < 70; i++) {
+    const actions = gateway.step({kind: 'tick'}, 500);
+    gateway.step(configurationRead(undefined));
+    const read = reads(actions).find(({call}) => call === 'registry');
+    if (!read) continue;
+    if (read.fromOffset === undefined) listings.push(gateway.nowMs());
+    const listing = read.fromOffset === undefined;
+    gateway.step({
+      kind: 'registry_read',
+      listing,
+      fromOffset: read.fromOffset ?? 0,
+      nextOffset: 10,
+      changes: [],
+    });
+  }
+  assert.equal(listings.length, 1);
+});
+
+// A new reader that had only listened told of positions without the changes.
+test('LOST: a gateway that becomes the reader passes on what it heard before', () => {
+  const gateway = readyGateway();
+  gateway.step(fromPeer(readerHeartbeat()));
+  const changes = [removal('e2', 20)];
+  gateway.step(fromPeer(storeGossip({registryOffset: 30, changes})));
+  const other = '10.0.0.9:7000';
+  gateway.step(fromPeer(readerHeartbeat({storeReachable: false}), other));
+  // The first reader falls silent, and the configuration is read first.
+  gateway.step(
+    fromPeer(readerHeartbeat({storeReachable: false}), other),
+    2_700,
+  );
+  gateway.step({kind: 'tick'}, 25);
+  const actions = gateway.step(configurationRead(configuration(), 5));
+  const news = actions.flatMap(action =>
+    action.kind === 'send_peers' && action.message.kind === 'store_news'
+      ? [action.message]
+      : [],
+  );
+  assert.deepEqual(
+    news.map(({registryFromOffset, registryOffset, changes: told}) => [
+      registryFromOffset,
+      registryOffset,
+      told.map(({id}) => id),
+    ]),
+    [[10, 30, ['e2']]],
+  );
+});
--- a/packages/core/src/store_watch/store_watch.ts
+++ b/packages/core/src/store_watch/store_watch.ts
@@ -10,6 +10,7 @@
 import type {EntryChange} from '../registry/entry_change.js';
 import {adoptConfiguration} from './adopt_configuration.js';
 import {createStoreGossip} from './store_gossip.js';
+import {createCopyCheck} from './copy_check.js';
 import {createRecentChanges} from './recent_changes.js';
 import {logEntryChanges} from './log_entry_changes.js';
 import {createStateCopies} from './state_copies.js';
@@ -60,11 +61,12 @@
   });
   const recent = createRecentChanges();
   const unreadable = createUnreadableRecords();
-  const copies = createStateCopies({...parts, positions});
+  const copies = createStateCopies({...parts, positions, registryChanged});
   const gossip = createStoreGossip({
     ...parts,
     positions,
     recent,
+    check: createCopyCheck(),
     copies,
     reachable: reachability.reachable,
     isReader: reader.isReader,
@@ -86,7 +88,8 @@
     const expired = registry.expire(nowMs);
     if (expired.length > 0) {
       // Peers rely on this gateway's reads, which have passed these records.
-      recent.add(nowMs, positions.registry.next ?? 0, expired);
+      const offset = positions.registry.next ?? 0;
+      recent.add(nowMs, offset, offset, expired);
       registryChanged(ctx, expired);
       broadcastPending = true;
     }
@@ -144,18 +147,13 @@
     // A late answer may be older than what peers have sent since.
     const outdated = event.nextOffset < (position.next ?? 0);
     if (event.listing && !outdated) {
-      position.mustList = false;
-      position.next = event.nextOffset;
-      const changed = registry.replaceAll(ctx.nowMs, event.changes);
-      recent.restart(event.nextOffset);
-      if (changed) registryChanged(ctx, []);
-      broadcastPending ||= changed;
+      listed(ctx, event);
     } else if (!event.listing && readFrom === event.fromOffset) {
       position.next = event.nextOffset;
       const applied = event.changes.filter(change =>
         registry.apply(ctx.nowMs, change),
       );
-      recent.add(ctx.nowMs, event.nextOffset, applied);
+      recent.add(ctx.nowMs, event.fromOffset, event.nextOffset, applied);
       if (applied.length > 0) registryChanged(ctx, applied);
       broadcastPending ||= applied.length > 0;
     }
@@ -164,6 +162,21 @@
       broadcast(ctx);
   }
 
+  function listed(ctx: GatewayContext, event: RegistryRead): void {
+    const position = positions.registry;
+    const {nowMs} = ctx;
+    const {nextOffset, changes} = event;
+    const {next: before} = position;
+    const isFirst = before === undefined;
+    position.mustList = false;
+    position.next = nextOffset;
+    position.listedMs = nowMs;
+    const applied = registry.replaceAll(nowMs, changes, nextOffset);
+    recent.add(nowMs, before ?? nextOffset, nextOffset, isFirst ? [] : applied);
+    if (applied.length > 0) registryChanged(ctx, applied);
+    broadcastPending ||= applied.length > 0;
+  }
+
   function broadcast(ctx: GatewayContext): void {
     broadcastPending = false;
     gossip.broadcast(ctx);
@@ -171,6 +184,9 @@
 
   function registryChanged(ctx: GatewayContext, changes: EntryChange[]): void {
     logEntryChanges(ctx, changes);
+    const {endpoints: value} = registry.summary();
+    const metric = 'registered_endpoints';
+    ctx.emit({kind: 'observe', metric, labels: {}, value});
     parts.endpointsChanged(ctx);
   }
 
--- a/packages/gateway/src/peers/call_schema.ts
+++ b/packages/gateway/src/peers/call_schema.ts
@@ -16,6 +16,13 @@
   startedAtMs: SERIAL,
 });
 
+const ENTRY_CHANGE = z.object({
+  id: z.string(),
+  offset: SERIAL,
+  entry: ENDPOINT_ENTRY.optional(),
+  unreadable: z.boolean(),
+});
+
 const ROUTE = z.object({
   name: z.string(),
   host: z.string(),
@@ -79,7 +86,7 @@
     configurationOffset: SERIAL,
     configuration: CONFIGURATION.optional(),
     registryOffset: SERIAL,
-    entries: z.array(ENDPOINT_ENTRY),
+    entries: z.array(ENTRY_CHANGE),
     // JSON writes the infinite age of a copy that was never confirmed as null.
     ageMs: AMOUNT.nullable(),
   }),
--- a/packages/gateway/src/peers/datagrams.test.ts
+++ b/packages/gateway/src/peers/datagrams.test.ts
@@ -44,10 +44,12 @@
     startedAtMs: OFFSET,
   })
   .chain(entry =>
-    fc.constantFrom<EntryChange>(
-      {id: entry.id, entry, unreadable: false},
-      {id: entry.id, entry: undefined, unreadable: true},
-      {id: entry.id, entry: undefined, unreadable: false},
+    OFFSET.chain(offset =>
+      fc.constantFrom<EntryChange>(
+        {id: entry.id, offset, entry, unreadable: false},
+        {id: entry.id, offset, entry: undefined, unreadable: true},
+        {id: entry.id, offset, entry: undefined, unreadable: false},
+      ),
     ),
   );
 
@@ -155,6 +157,7 @@
     registryOffset: OFFSET,
     registryFromOffset: OFFSET,
     changes: fc.array(CHANGE, {maxLength: 4}),
+    summary: fc.record({endpoints: COUNT, startSumMs: COUNT}),
     ageMs: COUNT,
   }),
 );
@@ -224,12 +227,13 @@
     configurationOffset: 1,
     registryOffset: 2,
     registryFromOffset: 1,
-    changes: [{id: 'e1', entry, unreadable: false}],
+    changes: [{id: 'e1', offset: 1, entry, unreadable: false}],
+    summary: {endpoints: 1, startSumMs: 7},
     ageMs: 0,
   });
   assert.ok(news?.kind === 'store_news');
   assert.deepEqual(news.changes, [
-    {id: 'e1', entry: undefined, unreadable: true},
+    {id: 'e1', offset: 1, entry: undefined, unreadable: true},
   ]);
 });
 
--- a/packages/gateway/src/peers/decode_call.test.ts
+++ b/packages/gateway/src/peers/decode_call.test.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import type {StateCopy} from '@wisterialadder/core/fleet/messages/state_copy.js';
+import {
+  entryChange,
+  removal,
+} from '@wisterialadder/core/mocks/gateway_harness.js';
 import {fuzzRuns} from '@wisterialadder/core/mocks/fuzz_runs.js';
 import {
   configuration,
@@ -15,7 +19,7 @@
     configurationOffset: 3,
     configuration: configuration(),
     registryOffset: 9,
-    entries: [endpointEntry()],
+    entries: [entryChange(endpointEntry(), 8), removal('e2', 7)],
     ageMs: 40,
     ...over,
   };
@@ -43,9 +47,13 @@
   ['entries that are no list', {entries: {length: 1}}],
   [
     'an endpoint at port 0',
-    {entries: [endpointEntry({address: '10.0.0.1:0'})]},
+    {entries: [entryChange(endpointEntry({address: '10.0.0.1:0'}))]},
+  ],
+  [
+    'an endpoint without a name',
+    {entries: [{...entryChange(endpointEntry()), id: 7}]},
   ],
-  ['an endpoint without a name', {entries: [{...endpointEntry(), id: 7}]}],
+  ['a negative position', {entries: [entryChange(endpointEntry(), -1)]}],
   ['a configuration without routes', {configuration: {version: 9}}],
   ['an offset in words', {registryOffset: 'end'}],
   ['an offset past 2^53', {registryOffset: 2 ** 60}],
--- a/packages/gateway/src/peers/decode_call.ts
+++ b/packages/gateway/src/peers/decode_call.ts
@@ -12,6 +12,7 @@
   return {
     ...data,
     ageMs: data.ageMs ?? Number.POSITIVE_INFINITY,
+    entries: data.entries.map(({entry, ...change}) => ({...change, entry})),
     configuration: configuration && {
       ...configuration,
       services: configuration.services.map(({engine, ...service}) => ({
--- a/packages/gateway/src/peers/decode_datagram.ts
+++ b/packages/gateway/src/peers/decode_datagram.ts
@@ -54,6 +54,10 @@
         registryFromOffset: safeNumber(message.value.registryFromOffset),
         changes: message.value.changes.map(decodeEntryChange),
         ageMs: message.value.ageMs,
+        summary: {
+          endpoints: message.value.registryEndpoints,
+          startSumMs: message.value.registryStartSumMs,
+        },
       };
     case 'endpointDoubt':
       return {kind: 'endpoint_doubt', ...message.value};
@@ -95,13 +99,16 @@
   return isAddress(member);
 }
 
-function decodeEntryChange({id, entry, unreadable}: WireChange): EntryChange {
+function decodeEntryChange(change: WireChange): EntryChange {
+  const {id, entry, unreadable} = change;
+  const offset = safeNumber(change.offset);
   if (entry && !isAddress(entry.address)) {
-    return {id, entry: undefined, unreadable: true};
+    return {id, offset, entry: undefined, unreadable: true};
   }
-  if (!entry) return {id, entry: undefined, unreadable};
+  if (!entry) return {id, offset, entry: undefined, unreadable};
   return {
     id,
+    offset,
     unreadable,
     entry: {
       id,
--- a/packages/gateway/src/peers/encode_datagram.ts
+++ b/packages/gateway/src/peers/encode_datagram.ts
@@ -97,6 +97,8 @@
     registryFromOffset: BigInt(news.registryFromOffset),
     changes: news.changes.map(encodeEntryChange),
     ageMs: Math.max(0, Math.round(news.ageMs)),
+    registryEndpoints: news.summary.endpoints,
+    registryStartSumMs: news.summary.startSumMs,
   };
 }
 
@@ -104,9 +106,11 @@
   change: EntryChange,
 ): MessageInitShape<typeof EntryChangeSchema> {
   const {id, entry, unreadable} = change;
-  if (!entry) return {id, unreadable};
+  const offset = BigInt(change.offset);
+  if (!entry) return {id, offset, unreadable};
   return {
     id,
+    offset,
     unreadable,
     entry: {
       service: entry.service,
