End an outage of the store when the reader is answered, not minutes later

Cause: a failed read was remembered until the gateway's next own answer. As long as the reader's messages spare it reads, that is minutes. When the reader dies, the first own answer passed for the end of an outage, and what was missing in it was retained for 2 s. Ruled out: a late choice of the next reader (gateways read by themselves after 1.05 s).

Change: store_outage.ts keeps the times of the newest outage. An answer to the reader ends it, a removal told by the reader is final, a reader says whether it retains entries itself, and a second outage within the 2 s keeps them. A gateway that is only told asks every 5 s whether the store answers it.

--- a/packages/core/src/fleet/messages/store_news.ts
+++ b/packages/core/src/fleet/messages/store_news.ts
@@ -12,6 +12,8 @@
   changes: EntryChange[];
   /** The sender's registry at `registryOffset`. */
   summary: RegistrySummary;
+  /** Whether the sender keeps endpoints that an outage may have dropped. */
+  retaining: boolean;
   /** Time since the sender read this, in milliseconds. */
   ageMs: number;
 }
--- a/packages/core/src/mocks/gateway_fleet.ts
+++ b/packages/core/src/mocks/gateway_fleet.ts
@@ -15,6 +15,8 @@
 
 const TICK_MS = 25;
 const STORE_MS = 4;
+/** A call during an outage gets no answer. */
+const LOST_CALL_MS = 900;
 const FAILURE_DOMAINS = 3;
 /** Wall clock of the start of a test. */
 const EPOCH_MS = 1.7e12;
@@ -111,7 +113,7 @@
       case 'read_store':
         return later(
           gateway,
-          STORE_MS,
+          store.reachable && !gateway.cut ? STORE_MS : LOST_CALL_MS,
           gateway.cut
             ? {kind: 'store_failed', call: action.call, failure: 'unavailable'}
             : store.read(action),
--- a/packages/core/src/registry/endpoint_registry.ts
+++ b/packages/core/src/registry/endpoint_registry.ts
@@ -1,3 +1,4 @@
+import type {ChangeSource} from './change_source.js';
 import type {EndpointEntry} from './endpoint_entry.js';
 import type {EntryChange} from './entry_change.js';
 import type {RegisteredEndpoint} from './registered_endpoint.js';
@@ -14,7 +15,7 @@
    * Applies a change unless a record of the id that is as new has been applied.
    * @returns whether the usable endpoints changed
    */
-  apply(nowMs: number, change: EntryChange): boolean;
+  apply(nowMs: number, change: EntryChange, source: ChangeSource): boolean;
   /**
    * Applies a full listing; ids that it does not contain are gone, unless a
    * record from `nextOffset` on says otherwise.
@@ -31,8 +32,8 @@
    */
   markLeaving(nowMs: number, id: string, startedAtMs: number): boolean;
   /**
-   * The store was unreachable until now and may have dropped live endpoints.
-   * Entries that it drops stay usable until the given time.
+   * The store was unreachable and may have dropped live endpoints. Those that
+   * this gateway finds dropped stay usable until the given time.
    */
   retainMissingUntil(untilMs: number): void;
   /** Applies timeouts; returns removals of entries no longer retained. */
@@ -53,8 +54,12 @@
   let byService = new Map<string, EndpointEntry[]>();
   let retainMissingUntilMs = Number.NEGATIVE_INFINITY;
 
-  function apply(nowMs: number, change: EntryChange): boolean {
-    const changed = applyOne(nowMs, change);
+  function apply(
+    nowMs: number,
+    change: EntryChange,
+    source: ChangeSource,
+  ): boolean {
+    const changed = applyOne(nowMs, change, source);
     if (changed) regroup();
     return changed;
   }
@@ -71,13 +76,17 @@
       .filter(id => !listed.has(id))
       .map(id => ({id, offset, entry: undefined, unreadable: false}));
     const applied = [...removals, ...changes].filter(change =>
-      applyOne(nowMs, change),
+      applyOne(nowMs, change, 'store'),
     );
     if (applied.length > 0) regroup();
     return applied;
   }
 
-  function applyOne(nowMs: number, change: EntryChange): boolean {
+  function applyOne(
+    nowMs: number,
+    change: EntryChange,
+    source: ChangeSource,
+  ): boolean {
     const {id, offset} = change;
     const known = byId.get(id);
     if (known) {
@@ -85,7 +94,7 @@
       known.offset = offset;
     }
     if (change.unreadable) return markUnreadable(id);
-    if (!change.entry) return remove(nowMs, id);
+    if (!change.entry) return remove(nowMs, id, source);
     return register(nowMs, change.entry, offset);
   }
 
@@ -115,12 +124,13 @@
     return before !== known.state || moved;
   }
 
-  function remove(nowMs: number, id: string): boolean {
+  function remove(nowMs: number, id: string, source: ChangeSource): boolean {
     const known = byId.get(id);
     if (!known || known.state === 'gone' || known.state === 'missing') {
       return false;
     }
-    const retained = nowMs < retainMissingUntilMs && known.state === 'ready';
+    const retains = source === 'store' && nowMs < retainMissingUntilMs;
+    const retained = retains && known.state === 'ready';
     known.state = retained ? 'missing' : 'gone';
     known.sinceMs = nowMs;
     return !retained;
--- a/packages/core/src/shared/gateway_log_events.ts
+++ b/packages/core/src/shared/gateway_log_events.ts
@@ -25,6 +25,12 @@
     text: 'the reader of the store knows other endpoints',
     action: 'None; the store is read. If it repeats, report a bug.',
   },
+  WL8006: {
+    level: 'info',
+    text: 'outage of the store is over',
+    action:
+      'None; shows whose read said so, and for how long missing endpoints stay.',
+  },
   WL8101: {
     level: 'info',
     text: 'first heartbeat of a gateway received',
--- a/packages/core/src/store_watch/registry_fleet.test.ts
+++ b/packages/core/src/store_watch/registry_fleet.test.ts
@@ -73,6 +73,7 @@
 for (const [gateways, engines, seeds] of [
   [7, 14, 40],
   [73, 45, 3],
+  [195, 112, 1],
 ] as const) {
   for (let seed = 1; seed <= seeds; seed++) {
     test(`LOST: after a quiet second ${gateways} gateways know what the store lists, seed ${seed}`, () => {
--- a/packages/core/src/store_watch/store_gossip.ts
+++ b/packages/core/src/store_watch/store_gossip.ts
@@ -6,6 +6,7 @@
 import type {CopyCheck} from './copy_check.js';
 import type {RecentChanges} from './recent_changes.js';
 import type {StateCopies} from './state_copies.js';
+import type {StoreOutage} from './store_outage.js';
 import {ageOf, type StorePositions} from './store_positions.js';
 
 /** Shares what one gateway reads from the store with the fleet. */
@@ -20,6 +21,7 @@
   members: FleetMembers;
   registry: EndpointRegistry;
   recent: RecentChanges;
+  outage: StoreOutage;
   check: CopyCheck;
   copies: StateCopies;
   reachable(): boolean;
@@ -31,7 +33,7 @@
 
 /** Creates the gossip about the store. */
 export function createStoreGossip(parts: StoreGossipParts): StoreGossip {
-  const {positions, members, registry, recent, check, copies} = parts;
+  const {positions, members, registry, recent, check, copies, outage} = parts;
 
   /** Sends what was read to the others, if this gateway is the reader. */
   function broadcast(ctx: GatewayContext): void {
@@ -57,6 +59,7 @@
         registryOffset,
         ...recentRecords(nowMs),
         summary: registry.summary(),
+        retaining: outage.mayLack(nowMs),
         ageMs: ageOf(positions, nowMs),
       },
     });
@@ -80,7 +83,7 @@
     // retained the endpoint.
     const applied = changes
       .filter(({offset, entry}) => offset >= known || !entry)
-      .filter(change => registry.apply(ctx.nowMs, change));
+      .filter(change => registry.apply(ctx.nowMs, change, 'reader'));
     if (registryOffset > known) {
       recent.add(ctx.nowMs, known, registryOffset, applied);
       positions.registry.next = registryOffset;
@@ -108,6 +111,7 @@
   ): void {
     const {configuration: config, registry: entries} = positions;
     const freshMs = ctx.nowMs - message.ageMs;
+    outage.answeredReader(ctx, freshMs, message.retaining);
     const configurationBehind =
       config.next === undefined || message.configurationOffset > config.next;
     if (!configurationBehind)
--- a/packages/core/src/store_watch/store_reader.ts
+++ b/packages/core/src/store_watch/store_reader.ts
@@ -12,6 +12,8 @@
 const STALE_AFTER_MS = 1_050;
 /** Pause between two reads of the other gateways while the store fails. */
 const RETRY_INTERVAL_MS = 1_000;
+/** Pause between two reads of a gateway that is told, but was not answered. */
+const RECHECK_INTERVAL_MS = 5_000;
 /** Endpoints are listed this often, in case that a change was missed. */
 const LIST_INTERVAL_MS = 30_000;
 /** A read without an answer counts as lost after this long. */
@@ -56,9 +58,11 @@
 
   function pollIntervalMs(nowMs: number): number {
     if (isReader(nowMs)) return READ_INTERVAL_MS;
-    if (ageOf(positions, nowMs) < STALE_AFTER_MS)
-      return Number.POSITIVE_INFINITY;
-    return reachability.reachable() ? READ_INTERVAL_MS : RETRY_INTERVAL_MS;
+    const reachable = reachability.reachable();
+    if (ageOf(positions, nowMs) < STALE_AFTER_MS) {
+      return reachable ? Number.POSITIVE_INFINITY : RECHECK_INTERVAL_MS;
+    }
+    return reachable ? READ_INTERVAL_MS : RETRY_INTERVAL_MS;
   }
 
   function isReader(nowMs: number): boolean {
--- a/packages/core/src/store_watch/store_watch.ts
+++ b/packages/core/src/store_watch/store_watch.ts
@@ -16,12 +16,11 @@
 import {createStateCopies} from './state_copies.js';
 import {createStoreReader} from './store_reader.js';
 import {createUnreadableRecords} from './unreadable_records.js';
+import {createStoreOutage} from './store_outage.js';
 import {createStoreReachability} from './store_reachability.js';
 import type {StorePosition} from './store_position.js';
 import {ageOf, createStorePositions} from './store_positions.js';
 
-/** Time that the store needs to list all live endpoints again. */
-const RELISTING_MS = 2_000;
 /** Time that the first read gets before a copy is pulled from a peer. */
 const FIRST_READ_TIMEOUT_MS = 250;
 
@@ -60,12 +59,14 @@
     reachability,
   });
   const recent = createRecentChanges();
+  const outage = createStoreOutage();
   const unreadable = createUnreadableRecords();
   const copies = createStateCopies({...parts, positions, registryChanged});
   const gossip = createStoreGossip({
     ...parts,
     positions,
     recent,
+    outage,
     check: createCopyCheck(),
     copies,
     reachable: reachability.reachable,
@@ -83,25 +84,29 @@
   }
 
   function expire(ctx: GatewayContext): void {
+    startedMs ??= ctx.nowMs;
+    expireMissing(ctx);
+    reader.expire(ctx);
+  }
+
+  function expireMissing(ctx: GatewayContext): void {
     const {nowMs} = ctx;
-    startedMs ??= nowMs;
+    registry.retainMissingUntil(outage.relistedMs());
     const expired = registry.expire(nowMs);
-    if (expired.length > 0) {
-      // Peers rely on this gateway's reads, which have passed these records.
-      const offset = positions.registry.next ?? 0;
-      recent.add(nowMs, offset, offset, expired);
-      registryChanged(ctx, expired);
-      broadcastPending = true;
-    }
-    reader.expire(ctx);
+    if (expired.length === 0) return;
+    // Peers rely on this gateway's reads, which have passed these records.
+    const offset = positions.registry.next ?? 0;
+    recent.add(nowMs, offset, offset, expired);
+    registryChanged(ctx, expired);
+    broadcastPending = true;
   }
 
   function answered(ctx: GatewayContext, position: StorePosition): void {
     position.freshMs = position.readSentMs ?? ctx.nowMs;
     position.readSentMs = undefined;
-    if (reachability.answered(ctx)) {
-      registry.retainMissingUntil(ctx.nowMs + RELISTING_MS);
-    }
+    reachability.answered(ctx);
+    outage.answered(ctx);
+    expireMissing(ctx);
   }
 
   function failed(ctx: GatewayContext, event: StoreFailed): void {
@@ -115,6 +120,7 @@
       return;
     }
     reachability.failed(ctx, call, failure);
+    outage.failed(ctx.nowMs);
     if (!loaded()) copies.pullFromAny(ctx);
   }
 
@@ -151,7 +157,7 @@
     } else if (!event.listing && readFrom === event.fromOffset) {
       position.next = event.nextOffset;
       const applied = event.changes.filter(change =>
-        registry.apply(ctx.nowMs, change),
+        registry.apply(ctx.nowMs, change, 'store'),
       );
       recent.add(ctx.nowMs, event.fromOffset, event.nextOffset, applied);
       if (applied.length > 0) registryChanged(ctx, applied);
--- a/packages/gateway/src/peers/datagrams.test.ts
+++ b/packages/gateway/src/peers/datagrams.test.ts
@@ -157,6 +157,7 @@
     registryOffset: OFFSET,
     registryFromOffset: OFFSET,
     changes: fc.array(CHANGE, {maxLength: 4}),
+    retaining: fc.boolean(),
     summary: fc.record({endpoints: COUNT, startSumMs: COUNT}),
     ageMs: COUNT,
   }),
@@ -228,6 +229,7 @@
     registryOffset: 2,
     registryFromOffset: 1,
     changes: [{id: 'e1', offset: 1, entry, unreadable: false}],
+    retaining: false,
     summary: {endpoints: 1, startSumMs: 7},
     ageMs: 0,
   });
--- a/packages/gateway/src/peers/decode_datagram.ts
+++ b/packages/gateway/src/peers/decode_datagram.ts
@@ -54,6 +54,7 @@
         registryFromOffset: safeNumber(message.value.registryFromOffset),
         changes: message.value.changes.map(decodeEntryChange),
         ageMs: message.value.ageMs,
+        retaining: message.value.retaining,
         summary: {
           endpoints: message.value.registryEndpoints,
           startSumMs: message.value.registryStartSumMs,
--- a/packages/gateway/src/peers/encode_datagram.ts
+++ b/packages/gateway/src/peers/encode_datagram.ts
@@ -97,6 +97,7 @@
     registryFromOffset: BigInt(news.registryFromOffset),
     changes: news.changes.map(encodeEntryChange),
     ageMs: Math.max(0, Math.round(news.ageMs)),
+    retaining: news.retaining,
     registryEndpoints: news.summary.endpoints,
     registryStartSumMs: news.summary.startSumMs,
   };
