Read every part of a prompt, and count those that cannot be told

Cause: decode_prompt_parts.ts kept 16 parts and dropped the rest without a line, so that nothing was ever known of the part. Ruled out: too little evidence (the part never shows among those of an engine that ended).

Change: all parts are read, as far as those of one prompt fit into one datagram; the rest is counted and logged (WL8505). The tables hold as many as several such prompts have, the parts of one prompt share their sets, and parts that were only ever seen together get one verdict instead of one for each, with the others judged at once if it is lifted. A message of verdicts is limited by its size.

--- a/packages/core/src/forwarding/forwarding.ts
+++ b/packages/core/src/forwarding/forwarding.ts
@@ -8,6 +8,7 @@
 import type {RequestArrived} from '../gateway/events/request_arrived.js';
 import type {GatewayContext} from '../gateway/gateway_context.js';
 import type {GatewayFeature} from '../gateway/gateway_feature.js';
+import {reportPartsLeftOut} from '../quarantine/report_parts.js';
 import type {Quarantine} from '../quarantine/quarantine.js';
 import type {EndpointSelection} from '../spread/endpoint_selection.js';
 import {createMemoryReservations} from '../tickets/memory_reservations.js';
@@ -93,6 +94,7 @@
     const admitted = admitRequest(configuration, event, arrivedMs, random);
     if (!admitted.ok) return refuse(ctx, event.reqId, admitted.val, undefined);
     const req = admitted.val;
+    if (event.partsLeftOut > 0) reportPartsLeftOut(ctx, event);
     requests.set(req.reqId, req);
     retryBudget.recordRequest(nowMs, req.service);
     dispatcher.dispatch(ctx, req);
--- a/packages/core/src/gateway/events/request_arrived.ts
+++ b/packages/core/src/gateway/events/request_arrived.ts
@@ -16,6 +16,8 @@
   expectedOutputTokens: number;
   /** Ids of the parts of its prompt that other requests may share. */
   sharedParts: string[];
+  /** Number of further parts whose ids exceed what a gateway keeps. */
+  partsLeftOut: number;
   /** Number of the last piece that the caller has already; 0 for none. */
   resumeAfter: number;
   /** Time that the caller waits, in milliseconds; undefined if unbounded. */
--- a/packages/core/src/mocks/gateway_harness.ts
+++ b/packages/core/src/mocks/gateway_harness.ts
@@ -97,6 +97,7 @@
     maxOutputTokens: 2_000,
     expectedOutputTokens: 1_000,
     sharedParts: [],
+    partsLeftOut: 0,
     resumeAfter: 0,
     remainingMs: 10_000,
     bodyBytes: 1_200,
--- a/packages/core/src/mocks/part_traffic.ts
+++ b/packages/core/src/mocks/part_traffic.ts
@@ -16,11 +16,14 @@
   /** Fraction of the requests that hold a deadly part. */
   share: number;
   deadly?: string[];
+  /** Parts that stand first in every prompt. */
+  before?: string[];
 }
 
 /** Sends prompts to random gateways; callers repeat failed ones once. */
 export function playParts(fleet: GatewayFleet, traffic: PartTraffic): void {
   const {gateways, forMs, everyMs, share, deadly = [DEADLY_PART]} = traffic;
+  const {before = []} = traffic;
   const random = createTestRandom(gateways + Math.round(fleet.nowMs()));
   for (const part of deadly) fleet.engines.deadly.add(part);
   let waiting: FleetRequest[] = [];
@@ -34,7 +37,7 @@
   }
 
   for (let ranMs = 0; ranMs < forMs; ranMs += everyMs) {
-    const parts = [pick(SHARED_PARTS)];
+    const parts = [...before, pick(SHARED_PARTS)];
     if (random() < share) parts.push(pick(deadly));
     waiting.push(send(parts));
     fleet.run(everyMs);
--- a/packages/core/src/quarantine/crash_evidence.ts
+++ b/packages/core/src/quarantine/crash_evidence.ts
@@ -40,7 +40,10 @@
     const doubted = held.filter(part => ledger.evidence(part) > 0);
     for (const part of held) ledger.proven(part, ctx.nowMs);
     trials.settle(held);
-    verdicts.cleared(ctx, held);
+    // A verdict that is lifted may have covered that on the real cause.
+    for (const part of verdicts.cleared(ctx, held)) {
+      if (ledger.isSufficient(part)) reviews.schedule(part, ctx.nowMs);
+    }
     if (doubted.length === 0) return;
     for (const part of doubted) reportStanding(ctx, part, 'clear', 0, '');
     const proven = doubted.map(part => ({part, ageMs: 0}));
@@ -75,10 +78,21 @@
     const due = reviews.takeDue(ctx.nowMs);
     due.sort((a, b) => ledger.evidence(b) - ledger.evidence(a));
     for (const part of due) {
-      if (ledger.isSufficient(part)) verdicts.convict(ctx, part);
+      if (ledger.isSufficient(part) && !isCovered(part)) {
+        verdicts.convict(ctx, part);
+      }
     }
   }
 
+  /** Whether another verdict keeps the same prompts from engines. */
+  function isCovered(part: string): boolean {
+    if (verdicts.on(part)) return false;
+    const held = [part, ...ledger.companions(part)];
+    return verdicts
+      .refusing(held)
+      .some(({companions}) => companions.includes(part));
+  }
+
   function reportSuspicion(ctx: GatewayContext, part: string): void {
     if (!ledger.isSuspected(ctx.nowMs, part)) return;
     const evidence = ledger.evidence(part);
--- a/packages/core/src/quarantine/crash_ledger.ts
+++ b/packages/core/src/quarantine/crash_ledger.ts
@@ -1,5 +1,6 @@
 import type {CrashReport} from './crash_report.js';
 import type {Incident} from './incident.js';
+import {createIntersections, type Intersections} from './intersections.js';
 import {createProvenParts} from './proven_parts.js';
 
 /** Evidence after which a part is held to be the cause. */
@@ -14,7 +15,8 @@
 const SAME_INCIDENT_MS = 100;
 const RETENTION_MS = 600_000;
 /** Callers may invent parts, so that the oldest are dropped. */
-const MAX_PARTS = 512;
+const MAX_PARTS = 8_192;
+const MAX_LIVES = 512;
 const MAX_INCIDENTS_PER_PART = 8;
 /** A part that was answered this recently is not suspected. */
 const RECENTLY_PROVEN_MS = 60_000;
@@ -55,7 +57,9 @@
   function record(nowMs: number, report: CrashReport): void {
     const life = `${report.endpoint}/${report.startedAtMs}`;
     if (report.begun) begunLives.set(life, nowMs);
-    for (const part of report.parts) add(nowMs, life, part, report);
+    const held = new Set(report.parts);
+    const shared = createIntersections(held);
+    for (const part of held) add(nowMs, life, part, report.begun, shared);
     prune(nowMs);
   }
 
@@ -63,16 +67,17 @@
     nowMs: number,
     life: string,
     part: string,
-    {begun, parts}: CrashReport,
+    begun: boolean,
+    shared: Intersections,
   ): void {
     const incidents = byPart.get(part) ?? [];
     const known = incidents.find(incident => incident.life === life);
     if (known) {
       known.begun ||= begun;
-      known.parts = intersect(known.parts, parts);
+      known.parts = shared.with(known.parts);
       return;
     }
-    incidents.push({life, atMs: nowMs, begun, parts: new Set(parts)});
+    incidents.push({life, atMs: nowMs, begun, parts: shared.all});
     if (incidents.length > MAX_INCIDENTS_PER_PART) incidents.shift();
     byPart.delete(part);
     byPart.set(part, incidents);
@@ -86,7 +91,7 @@
     }
     for (const [life, atMs] of begunLives) {
       const expired = nowMs - atMs >= RETENTION_MS;
-      if (expired || begunLives.size > MAX_PARTS) forgetLife(life);
+      if (expired || begunLives.size > MAX_LIVES) forgetLife(life);
     }
   }
 
@@ -185,10 +190,3 @@
     },
   };
 }
-
-function intersect(
-  known: ReadonlySet<string>,
-  parts: string[],
-): ReadonlySet<string> {
-  return new Set(parts.filter(part => known.has(part)));
-}
--- a/packages/core/src/quarantine/part_reviews.ts
+++ b/packages/core/src/quarantine/part_reviews.ts
@@ -1,7 +1,7 @@
 /** Time for peers to tell of answers before a part is judged. */
 const REVIEW_AFTER_MS = 30;
 /** Parts of a gateway's own observations that are remembered. */
-const MAX_OBSERVED = 512;
+const MAX_OBSERVED = 8_192;
 
 /** Which parts are to be judged when, by the gateways that saw them. */
 export interface PartReviews {
--- a/packages/core/src/quarantine/part_trials.ts
+++ b/packages/core/src/quarantine/part_trials.ts
@@ -1,7 +1,7 @@
 /** A trial without a result ends after this long. */
 const TRIAL_MS = 1_500;
 /** Peers may name any number of parts; the oldest trials are dropped. */
-const MAX_TRIALS = 512;
+const MAX_TRIALS = 8_192;
 
 /** Prompts with suspected parts that are on engines, one for each part. */
 export interface PartTrials {
--- a/packages/core/src/quarantine/proven_parts.ts
+++ b/packages/core/src/quarantine/proven_parts.ts
@@ -1,5 +1,5 @@
 /** Parts that are remembered; the ones proven longest ago are dropped. */
-const MAX_PARTS = 4_096;
+const MAX_PARTS = 16_384;
 
 /** Parts of prompts that engines answered, and when last. */
 export interface ProvenParts {
--- a/packages/core/src/quarantine/quarantine_sync.ts
+++ b/packages/core/src/quarantine/quarantine_sync.ts
@@ -7,8 +7,9 @@
 
 /** Pause between two messages of the verdicts, and two attempts to save. */
 const SYNC_INTERVAL_MS = 1_000;
-/** A datagram must not be split on its way. */
 const MAX_ENTRIES_PER_MESSAGE = 12;
+/** Names in a message, in characters; a message is one datagram. */
+const MAX_NAMES_LENGTH = 32_768;
 
 /** Dependencies of the exchange. */
 export interface QuarantineSyncParts {
@@ -47,12 +48,22 @@
     }
   }
 
+  /** Entries that fit into one message, at least one. */
+  function firstEntries(entries: QuarantineEntry[]): QuarantineEntry[] {
+    let length = 0;
+    const fitting = entries.findIndex((entry, i) => {
+      length += namesLength(entry);
+      return i > 0 && length > MAX_NAMES_LENGTH;
+    });
+    const count = fitting < 0 ? entries.length : fitting;
+    return entries.slice(0, Math.min(count, MAX_ENTRIES_PER_MESSAGE));
+  }
+
   /** Sends some entries, and the next ones the next time. */
   function repeat(ctx: GatewayContext, entries: QuarantineEntry[]): void {
     if (nextEntry >= entries.length) nextEntry = 0;
-    const end = nextEntry + MAX_ENTRIES_PER_MESSAGE;
-    const sent = entries.slice(nextEntry, end);
-    nextEntry = end;
+    const sent = firstEntries(entries.slice(nextEntry));
+    nextEntry += sent.length;
     const unsaved = new Set(list.unsaved());
     const saved = !sent.some(entry => unsaved.has(entry));
     gossip.tellVerdicts(ctx, sent, saved);
@@ -79,3 +90,7 @@
     expire,
   };
 }
+
+function namesLength({part, companions}: QuarantineEntry): number {
+  return companions.reduce((sum, name) => sum + name.length, part.length);
+}
--- a/packages/core/src/quarantine/report_parts.ts
+++ b/packages/core/src/quarantine/report_parts.ts
@@ -1,3 +1,4 @@
+import type {RequestArrived} from '../gateway/events/request_arrived.js';
 import type {GatewayContext} from '../gateway/gateway_context.js';
 import type {CrashReport} from './crash_report.js';
 import type {PartAdmission} from './part_admission.js';
@@ -54,3 +55,14 @@
   const metric = 'suspected_requests_total';
   ctx.emit({kind: 'observe', metric, labels, value: 1});
 }
+
+/** Logs and counts parts of a prompt that no quarantine can know. */
+export function reportPartsLeftOut(
+  ctx: GatewayContext,
+  {reqId, sharedParts, partsLeftOut}: RequestArrived,
+): void {
+  const fields = {reqId, known: sharedParts.length, leftOut: partsLeftOut};
+  ctx.emit({kind: 'write_log', event: 'WL8505', fields});
+  const metric = 'prompt_parts_left_out_total';
+  ctx.emit({kind: 'observe', metric, labels: {}, value: partsLeftOut});
+}
--- a/packages/core/src/quarantine/verdicts.ts
+++ b/packages/core/src/quarantine/verdicts.ts
@@ -19,8 +19,11 @@
   convict(ctx: GatewayContext, part: string): void;
   /** Lifts the quarantine of a part, if it has one. */
   lift(ctx: GatewayContext, part: string, source: PartSource): void;
-  /** Engines answered these parts, so that they are no cause of any end. */
-  cleared(ctx: GatewayContext, held: readonly string[]): void;
+  /**
+   * Engines answered these parts, so that they are no cause of any end.
+   * @returns what stood beside them in verdicts that this has lifted
+   */
+  cleared(ctx: GatewayContext, held: readonly string[]): string[];
   /** A prompt with these parts is sent in spite of its verdicts. */
   tried(ctx: GatewayContext, held: readonly string[]): void;
   /** Takes a verdict of a peer or of the store, unless it is outdated. */
@@ -70,13 +73,15 @@
     change(ctx, {...entry, state: 'lifted', companions: []}, source);
   }
 
-  function cleared(ctx: GatewayContext, held: readonly string[]): void {
+  function cleared(ctx: GatewayContext, held: readonly string[]): string[] {
+    const companionsOfLifted = held.flatMap(part => on(part)?.companions ?? []);
     for (const part of held) lift(ctx, part, 'self');
     for (const entry of list.all()) {
       const companions = entry.companions.filter(part => !held.includes(part));
       if (companions.length === entry.companions.length) continue;
       change(ctx, {...entry, companions}, 'self');
     }
+    return companionsOfLifted;
   }
 
   function tried(ctx: GatewayContext, held: readonly string[]): void {
--- a/packages/core/src/shared/gateway_log_events.ts
+++ b/packages/core/src/shared/gateway_log_events.ts
@@ -119,6 +119,11 @@
     text: 'request with a suspected part refused or sent alone',
     action: 'None; see WL8503 of the part for the evidence.',
   },
+  WL8505: {
+    level: 'warn',
+    text: 'parts of a prompt left out',
+    action: 'Find out who sends thousands of parts; the rest is followed.',
+  },
   WL8401: {
     level: 'warn',
     text: 'engine memory not reserved',
--- a/packages/core/src/shared/metrics.ts
+++ b/packages/core/src/shared/metrics.ts
@@ -130,6 +130,11 @@
     help: 'Records of the store that were left out and logged.',
     labels: [],
   },
+  prompt_parts_left_out_total: {
+    type: 'counter',
+    help: 'Parts of prompts that are too many to be quarantined.',
+    labels: [],
+  },
   registered_endpoints: {
     type: 'gauge',
     help: 'Endpoints that this gateway knows; equal at all gateways.',
--- a/packages/gateway/src/mocks/callers.ts
+++ b/packages/gateway/src/mocks/callers.ts
@@ -39,6 +39,7 @@
       maxOutputTokens: 0,
       expectedOutputTokens: 0,
       sharedParts: [],
+      partsLeftOut: 0,
       resumeAfter: 0,
       remainingMs: undefined,
     });
