Let peers renew memory on a paused engine instead of holding it for longer

Cause: an engine that asks for a pause wants no orders, so that its memory was held by one order for up to 10 s, which only its maker could end. Ruled out: a late end of the prompt, and a lost release.

Change: every hold lasts 3.5 s. While an engine is paused for a gateway, it asks a peer for each renewal, and the next one if none confirms. When it dies, nobody asks. Without a peer the memory lapses.

"Held by one longer order" asserted the fault. The test in its place asks for the same (no order of the gateway in the pause, memory held all the while, other engines renewed, own orders after it), and for the bound on every hold.

--- a/packages/core/src/fleet/messages/peer_message.ts
+++ b/packages/core/src/fleet/messages/peer_message.ts
@@ -1,6 +1,8 @@
 import type {Beat} from './beat.js';
 import type {EndpointDoubt} from './endpoint_doubt.js';
 import type {EndpointLeaving} from './endpoint_leaving.js';
+import type {MemoryRenewal} from './memory_renewal.js';
+import type {MemoryRenewed} from './memory_renewed.js';
 import type {PartNews} from './part_news.js';
 import type {QuarantineNews} from './quarantine_news.js';
 import type {EndpointLimit} from './endpoint_limit.js';
@@ -16,6 +18,8 @@
   | EndpointDoubt
   | EndpointLeaving
   | EndpointLimit
+  | MemoryRenewal
+  | MemoryRenewed
   | PartNews
   | QuarantineNews
   | StateCopy
--- a/packages/core/src/forwarding/forwarding.ts
+++ b/packages/core/src/forwarding/forwarding.ts
@@ -57,13 +57,14 @@
 
 /** Creates the forwarding without requests in flight. */
 export function createForwarding(parts: ForwardingParts): Forwarding {
-  const {configuration, health, quarantine, retryBudget} = parts;
+  const {configuration, health, members, quarantine, retryBudget} = parts;
   const requests = new Map<string, ForwardedRequest>();
   const early = createEarlyRequests();
   const reservations = createMemoryReservations({
     self: parts.self,
     incarnation: parts.incarnation,
-    pauseEndMs: parts.pauses.endMs,
+    isPaused: parts.pauses.isPaused,
+    peers: members.aliveAddresses,
     onHints: parts.hints.apply,
     onReserved: (ctx, reqId, reservation) =>
       dispatcher.onMemoryReserved(ctx, reqId, reservation),
@@ -149,12 +150,14 @@
     handlers: {
       request_arrived: arrived,
       caller_left: callerLeft,
-      peer_received: (ctx, {message}) => {
+      ...answers.handlers,
+      ...reservations.handlers,
+      peer_received: (ctx, event) => {
+        reservations.handlers.peer_received?.(ctx, event);
+        const {message} = event;
         if (message.kind !== 'endpoint_doubt') return;
         health.recordPeerFailure(message.endpoint, message.pauseMs, ctx.nowMs);
       },
-      ...answers.handlers,
-      ...reservations.handlers,
     },
     expire: ctx => {
       expire(ctx);
--- a/packages/core/src/gateway/gateway_node.ts
+++ b/packages/core/src/gateway/gateway_node.ts
@@ -17,6 +17,7 @@
 import {createEndpointRegistry} from '../registry/endpoint_registry.js';
 import {runFeatures} from '../shared/run_features.js';
 import {createEndpointSelection} from '../spread/endpoint_selection.js';
+import {createPeerRenewals} from '../tickets/peer_renewals.js';
 import {createStoreWatch} from '../store_watch/store_watch.js';
 import type {DecisionNode} from '../types/decision_node.js';
 import type {GatewayAction} from './actions/gateway_action.js';
@@ -163,6 +164,7 @@
     hints,
     quarantine,
     forwarding,
+    createPeerRenewals({registry, pauses, hints}),
     settingsWatch,
     createGatewayShutdown(drain, forwarding.inFlight),
     createGatewayReadiness(store, drain),
--- a/packages/core/src/tickets/engine_reservation.ts
+++ b/packages/core/src/tickets/engine_reservation.ts
@@ -4,10 +4,8 @@
 export interface EngineReservation {
   engine: EndpointEntry;
   tokens: number;
-  /** `pending` until the engine has confirmed it. */
+  /** `pending` until the engine has confirmed the newest order. */
   state: 'pending' | 'confirmed';
   /** Steady clock; time of the newest order. */
   orderedMs: number;
-  /** Steady clock; the engine frees the memory then, if not renewed. */
-  heldUntilMs: number;
 }
--- a/packages/core/src/tickets/memory_reservations.test.ts
+++ b/packages/core/src/tickets/memory_reservations.test.ts
@@ -3,6 +3,7 @@
 import {NO_HINTS} from '../endpoint_hints/endpoint_hints.js';
 import type {GatewayAction} from '../gateway/actions/gateway_action.js';
 import type {OrderMemory} from '../gateway/actions/order_memory.js';
+import type {GatewayEvent} from '../gateway/events/gateway_event.js';
 import {
   attemptFailed,
   readyGateway,
@@ -12,6 +13,7 @@
   type GatewayHarness,
 } from '../mocks/gateway_harness.js';
 import {endpointEntry} from '../mocks/gateway_parts.js';
+import {heartbeat, peerReceived} from '../mocks/peer_parts.js';
 import type {MemoryAnswer} from './memory_answer.js';
 
 /** Memory held for longer than this after its request is a leak. */
@@ -162,26 +164,129 @@
   assert.equal(started(answers), undefined);
 });
 
-test('memory on an engine that asked for a pause is held by one longer order', () => {
+const PEERS = ['10.0.0.8:7000', '10.0.0.9:7000'];
+const PAUSE_MS = 5_000;
+
+/** A gateway with a large request, one of whose engines asks for a pause. */
+function withPausedEngine(peers = PEERS) {
   const gateway = fleetOf(4);
+  for (const peer of peers) gateway.step(peerReceived(peer, heartbeat()));
   const [first, ...others] = startedLarge(gateway);
   assert.ok(first);
   const {ticket, endpoint} = first;
-  const hints = {...NO_HINTS, pauseMs: 5_000};
+  const hints = {...NO_HINTS, pauseMs: PAUSE_MS};
   const settled = {ticket, endpoint, answer: 'unknown', hints} as const;
   gateway.step({kind: 'memory_settled', ...settled}, 5);
-  const ordered: OrderMemory[] = [];
-  for (let waitedMs = 25; waitedMs < 5_000; waitedMs += 25) {
-    ordered.push(...orders(gateway.step({kind: 'tick'}, 25), 'reserve'));
+  return {gateway, ticket, endpoint, others};
+}
+
+function renewalsBy(actions: GatewayAction[]): string[] {
+  return actions.flatMap(action =>
+    action.kind === 'send_peers' && action.message.kind === 'memory_renewal'
+      ? action.to
+      : [],
+  );
+}
+
+/** Actions of the ticks until a time has passed, with living peers. */
+function ticks(
+  gateway: GatewayHarness,
+  forMs: number,
+  confirm?: GatewayEvent,
+): GatewayAction[] {
+  const all: GatewayAction[] = [];
+  for (let ranMs = 0; ranMs < forMs; ranMs += 25) {
+    for (const peer of PEERS) gateway.step(peerReceived(peer, heartbeat()));
+    const actions = gateway.step({kind: 'tick'}, 25);
+    all.push(...actions);
+    if (confirm && renewalsBy(actions).length > 0) gateway.step(confirm, 10);
   }
-  const paused = ordered.filter(order => order.endpoint === endpoint);
-  assert.equal(paused.length, 1);
-  assert.ok(paused[0]!.holdMs > 5_000);
-  assert.equal(ordered.indexOf(paused[0]!), 0);
+  return all;
+}
+
+// A hold that outlasted the pause also outlasted its gateway, by ten seconds.
+test('LEAK: memory on a paused engine is renewed by peers, and never held for longer', () => {
+  const {gateway, ticket, endpoint, others} = withPausedEngine();
+  const renewed = {kind: 'memory_renewed', ticket, endpoint} as const;
+  const confirm = peerReceived(PEERS[0]!, renewed);
+  const actions = ticks(gateway, PAUSE_MS - 100, confirm);
+  const ordered = orders(actions, 'reserve');
+  assert.deepEqual(
+    ordered.filter(order => order.endpoint === endpoint),
+    [],
+  );
+  assert.ok(ordered.every(({holdMs}) => holdMs < RELEASE_BOUND_MS));
+  const asked = renewalsBy(actions);
+  assert.ok(asked.length >= 4 && asked.length <= 5, `${asked.length}`);
   for (const other of others) {
-    const renewed = ordered.filter(order => order.endpoint === other.endpoint);
-    assert.ok(renewed.length >= 4);
+    const own = ordered.filter(order => order.endpoint === other.endpoint);
+    assert.ok(own.length >= 4);
   }
-  const after = orders(gateway.step({kind: 'tick'}, 1_300), 'reserve');
+  const after = orders(ticks(gateway, 1_400), 'reserve');
   assert.ok(after.some(order => order.endpoint === endpoint));
 });
+
+test('a renewal that no peer confirms is asked of the next one soon', () => {
+  const {gateway} = withPausedEngine();
+  const asked = renewalsBy(ticks(gateway, 1_800));
+  assert.ok(asked.length >= 3);
+  assert.deepEqual(new Set(asked), new Set(PEERS));
+});
+
+test('memory on a paused engine lapses if there is no peer', () => {
+  const {gateway, endpoint} = withPausedEngine([]);
+  for (let i = 0; i < 100; i++) {
+    const actions = gateway.step({kind: 'tick'}, 25);
+    const sent = orders(actions, 'reserve').map(order => order.endpoint);
+    assert.ok(!sent.includes(endpoint));
+  }
+});
+
+test('no peer is asked for renewals once the request has ended', () => {
+  const {gateway} = withPausedEngine();
+  gateway.step({kind: 'caller_left', reqId: 'r1'});
+  assert.deepEqual(renewalsBy(ticks(gateway, 2_000)), []);
+});
+
+/** A peer's request to renew memory on `e1`. */
+const RENEWAL = peerReceived(PEERS[0]!, {
+  kind: 'memory_renewal',
+  ticket: 't1',
+  endpoint: 'e1',
+  tokens: 9_000,
+});
+
+function settledRenewal(answer: MemoryAnswer, pauseMs?: number): GatewayEvent {
+  const settled = {ticket: 't1', endpoint: 'e1', answer};
+  return {kind: 'memory_settled', ...settled, hints: {...NO_HINTS, pauseMs}};
+}
+
+test('a gateway renews the memory of a peer once, and tells it', () => {
+  const gateway = fleetOf(2);
+  const [order, ...more] = orders(gateway.step(RENEWAL), 'reserve');
+  assert.deepEqual(more, []);
+  assert.equal(order?.endpoint, 'e1');
+  assert.equal(order?.tokens, 9_000);
+  assert.ok(order.holdMs < RELEASE_BOUND_MS);
+  const told = gateway.step(settledRenewal('done'), 5);
+  const messages = told.flatMap(action =>
+    action.kind === 'send_peers' ? [[action.to, action.message]] : [],
+  );
+  const renewed = {kind: 'memory_renewed', ticket: 't1', endpoint: 'e1'};
+  assert.deepEqual(messages, [[[PEERS[0]], renewed]]);
+  // The peer may have died since.
+  assert.deepEqual(orders(ticks(gateway, 4_000), 'reserve'), []);
+});
+
+test('a gateway that the engine asked for a pause, too, renews nothing', () => {
+  const gateway = fleetOf(2);
+  gateway.step(RENEWAL);
+  gateway.step(settledRenewal('refused', PAUSE_MS), 5);
+  assert.deepEqual(orders(gateway.step(RENEWAL, 100), 'reserve'), []);
+  assert.equal(orders(gateway.step(RENEWAL, PAUSE_MS), 'reserve').length, 1);
+});
+
+test('memory on an engine that is not registered is not renewed', () => {
+  const gateway = readyGateway({entries: [endpointEntry({id: 'e7'})]});
+  assert.deepEqual(orders(gateway.step(RENEWAL), 'reserve'), []);
+});
--- a/packages/core/src/tickets/memory_reservations.ts
+++ b/packages/core/src/tickets/memory_reservations.ts
@@ -1,22 +1,17 @@
 import type {EndpointHints} from '../endpoint_hints/endpoint_hints.js';
 import type {MemorySettled} from '../gateway/events/memory_settled.js';
+import type {PeerReceived} from '../gateway/events/peer_received.js';
 import type {GatewayContext} from '../gateway/gateway_context.js';
 import type {GatewayFeature} from '../gateway/gateway_feature.js';
 import type {EndpointEntry} from '../registry/endpoint_entry.js';
 import type {EndpointChoice} from '../spread/endpoint_choice.js';
+import {HOLD_MS} from './hold_time.js';
 import type {MemoryOrder} from './memory_order.js';
 import type {EngineReservation} from './engine_reservation.js';
 import type {AttemptReservation} from './attempt_reservation.js';
 
-/**
- * Time after which an engine frees reserved memory that is not renewed. It
- * limits how long memory stays reserved after its gateway has died.
- */
-const HOLD_MS = 3_500;
 /** Interval of the renewals of a reservation. */
 const RENEW_INTERVAL_MS = 1_200;
-/** Longest hold, for memory on an engine that wants no orders for a while. */
-const MAX_HOLD_MS = 10_000;
 /** An order without an answer is sent again after this time. */
 const RETRY_INTERVAL_MS = 500;
 
@@ -33,8 +28,10 @@
   /** Peer address of this gateway; makes ids unique. */
   self: string;
   incarnation: number;
-  /** Steady clock; end of the pause that an engine asked for. */
-  pauseEndMs(engine: EndpointEntry): number;
+  /** Whether an engine wants no orders of this gateway now. */
+  isPaused(engine: EndpointEntry, nowMs: number): boolean;
+  /** Peer addresses of the other gateways. */
+  peers(nowMs: number): string[];
   /** An engine's answer says something about the engine. */
   onHints(
     ctx: GatewayContext,
@@ -57,6 +54,7 @@
 ): MemoryReservations {
   const reservations = new Map<string, AttemptReservation>();
   let lastNumber = 0;
+  let lastPeer = 0;
 
   function reserve(
     ctx: GatewayContext,
@@ -82,7 +80,6 @@
         tokens: choice.helperTokens,
         state: 'pending',
         orderedMs: ctx.nowMs,
-        heldUntilMs: ctx.nowMs,
       };
       reservation.engines.set(engine.id, part);
       order(ctx, reservation, part, 'reserve');
@@ -95,9 +92,7 @@
     part: EngineReservation,
     kind: MemoryOrder,
   ): void {
-    const holdMs = holdFor(ctx.nowMs, part);
     part.orderedMs = ctx.nowMs;
-    part.heldUntilMs = ctx.nowMs + holdMs;
     ctx.emit({
       kind: 'order_memory',
       ticket: reservation.ticket,
@@ -105,20 +100,45 @@
       address: part.engine.address,
       order: kind,
       tokens: part.tokens,
-      holdMs,
+      holdMs: HOLD_MS,
     });
   }
 
-  /** A longer hold outlasts a pause, in which the engine gets no renewals. */
-  function holdFor(nowMs: number, {engine}: EngineReservation): number {
-    const pauseMs = parts.pauseEndMs(engine) - nowMs;
-    return pauseMs <= 0 ? HOLD_MS : Math.min(MAX_HOLD_MS, pauseMs + HOLD_MS);
+  /** Renews a reservation; a peer does it while the engine is paused. */
+  function renew(
+    ctx: GatewayContext,
+    reservation: AttemptReservation,
+    part: EngineReservation,
+  ): void {
+    if (!parts.isPaused(part.engine, ctx.nowMs)) {
+      return order(ctx, reservation, part, 'reserve');
+    }
+    part.orderedMs = ctx.nowMs;
+    const peers = parts.peers(ctx.nowMs);
+    if (peers.length === 0) return;
+    lastPeer += 1;
+    const peer = peers[lastPeer % peers.length]!;
+    // Until the peer confirms, another one is asked soon.
+    part.state = 'pending';
+    const {ticket} = reservation;
+    const {engine, tokens} = part;
+    const kind = 'memory_renewal';
+    const message = {kind, ticket, endpoint: engine.id, tokens} as const;
+    ctx.emit({kind: 'send_peers', to: [peer], message});
+  }
+
+  function onPeer(ctx: GatewayContext, {message}: PeerReceived): void {
+    if (message.kind !== 'memory_renewed') return;
+    const part = find(message.ticket)?.engines.get(message.endpoint);
+    if (part) part.state = 'confirmed';
+  }
+
+  function find(ticket: string): AttemptReservation | undefined {
+    return [...reservations.values()].find(known => known.ticket === ticket);
   }
 
   function onSettled(ctx: GatewayContext, event: MemorySettled): void {
-    const reservation = [...reservations.values()].find(
-      ({ticket}) => ticket === event.ticket,
-    );
+    const reservation = find(event.ticket);
     const part = reservation?.engines.get(event.endpoint);
     if (!reservation || !part) return;
     parts.onHints(ctx, part.engine, event.hints);
@@ -165,10 +185,6 @@
   }
 
   function isOrderDue(nowMs: number, part: EngineReservation): boolean {
-    const pauseEndMs = parts.pauseEndMs(part.engine);
-    if (pauseEndMs > nowMs) {
-      return part.heldUntilMs < Math.min(pauseEndMs, nowMs + HOLD_MS);
-    }
     const pending = part.state === 'pending';
     const intervalMs = pending ? RETRY_INTERVAL_MS : RENEW_INTERVAL_MS;
     return nowMs - part.orderedMs >= intervalMs;
@@ -177,8 +193,7 @@
   function expire(ctx: GatewayContext): void {
     for (const reservation of reservations.values()) {
       for (const part of reservation.engines.values()) {
-        if (isOrderDue(ctx.nowMs, part))
-          order(ctx, reservation, part, 'reserve');
+        if (isOrderDue(ctx.nowMs, part)) renew(ctx, reservation, part);
       }
     }
   }
@@ -192,5 +207,10 @@
     }
   }
 
-  return {handlers: {memory_settled: onSettled}, expire, reserve, release};
+  return {
+    handlers: {memory_settled: onSettled, peer_received: onPeer},
+    expire,
+    reserve,
+    release,
+  };
 }
--- a/packages/gateway/src/peers/datagram_message.ts
+++ b/packages/gateway/src/peers/datagram_message.ts
@@ -3,6 +3,8 @@
 import type {EndpointLeaving} from '@wisterialadder/core/fleet/messages/endpoint_leaving.js';
 import type {EndpointLimit} from '@wisterialadder/core/fleet/messages/endpoint_limit.js';
 import type {FleetDigest} from '@wisterialadder/core/fleet/messages/fleet_digest.js';
+import type {MemoryRenewal} from '@wisterialadder/core/fleet/messages/memory_renewal.js';
+import type {MemoryRenewed} from '@wisterialadder/core/fleet/messages/memory_renewed.js';
 import type {PartNews} from '@wisterialadder/core/fleet/messages/part_news.js';
 import type {QuarantineNews} from '@wisterialadder/core/fleet/messages/quarantine_news.js';
 import type {StoreNews} from '@wisterialadder/core/fleet/messages/store_news.js';
@@ -15,6 +17,8 @@
   | EndpointLeaving
   | EndpointLimit
   | FleetDigest
+  | MemoryRenewal
+  | MemoryRenewed
   | PartNews
   | QuarantineNews
   | StoreNews
--- a/packages/gateway/src/peers/datagrams.test.ts
+++ b/packages/gateway/src/peers/datagrams.test.ts
@@ -146,6 +146,17 @@
     endpoint: fc.string(),
     pauseMs: COUNT,
   }),
+  fc.record({
+    kind: fc.constant('memory_renewal' as const),
+    ticket: fc.string(),
+    endpoint: fc.string(),
+    tokens: COUNT,
+  }),
+  fc.record({
+    kind: fc.constant('memory_renewed' as const),
+    ticket: fc.string(),
+    endpoint: fc.string(),
+  }),
   fc.record({
     kind: fc.constant('endpoint_leaving' as const),
     endpoint: fc.string(),
--- a/packages/gateway/src/peers/decode_datagram.ts
+++ b/packages/gateway/src/peers/decode_datagram.ts
@@ -68,6 +68,10 @@
         endpoint: message.value.endpoint,
         startedAtMs: safeNumber(message.value.startedAtMs),
       };
+    case 'memoryRenewal':
+      return {kind: 'memory_renewal', ...message.value};
+    case 'memoryRenewed':
+      return {kind: 'memory_renewed', ...message.value};
     case 'endpointLimit':
       return decodeEndpointLimit(message.value);
     case 'partNews':
--- a/packages/gateway/src/peers/encode_datagram.ts
+++ b/packages/gateway/src/peers/encode_datagram.ts
@@ -42,6 +42,14 @@
       return {case: 'partNews', value: encodePartNews(message)};
     case 'quarantine_news':
       return {case: 'quarantineNews', value: encodeQuarantineNews(message)};
+    case 'memory_renewal': {
+      const {ticket, endpoint, tokens} = message;
+      return {case: 'memoryRenewal', value: {ticket, endpoint, tokens}};
+    }
+    case 'memory_renewed': {
+      const {ticket, endpoint} = message;
+      return {case: 'memoryRenewed', value: {ticket, endpoint}};
+    }
     case 'endpoint_limit': {
       const {endpoint, startedAtMs, limit} = message;
       const requestsPerSecond = limit === 'none' ? undefined : limit;
