Bound the notice of a planned stop by the grace

Callers (report of other operators): requests that come late in the grace of a planned stop are passed on and cut with no answer.

Cause here: the notice, in which requests are still taken, was 3 s whatever the grace. With a grace of 3 s or less they were taken until SIGKILL. Ruled out for the users' 8 s: planned_stop.test.ts plays streams, reads and writes at each 200 ms of the grace, and passes without the change.

Change: the notice is at most three eighths of the grace, and the abort not before half of it. With 8 s nothing changes.

Evidence: five of the seven graces of gateway_config_of.test.ts fail before the change, all pass now.

--- a/packages/gateway/src/gateway_config_of.ts
+++ b/packages/gateway/src/gateway_config_of.ts
@@ -6,6 +6,8 @@
 const MS_PER_SECOND = 1_000;
 /** Time before the end of the grace period at which requests are aborted. */
 const ABORT_MARGIN_MS = 700;
+/** Longest notice, as a share of the grace: what is taken last needs the rest. */
+const MAX_NOTICE_SHARE = 3 / 8;
 /** A shorter window would hold no repeat and so allow any number. */
 const MIN_RETRY_WINDOW_MS = 100;
 
@@ -16,6 +18,7 @@
   incarnation: number,
 ): GatewayConfig {
   const {port} = splitAddress(address);
+  const graceMs = cfg.shutdown.grace * MS_PER_SECOND;
   return {
     address,
     failureDomain: cfg.vm.failure_domain,
@@ -23,11 +26,8 @@
     seeds: cfg.peers.seeds
       .map(seed => `${splitAddress(seed).host}:${port}`)
       .filter(seed => seed !== address),
-    drainNoticeMs: cfg.shutdown.notice,
-    drainLimitMs: Math.max(
-      0,
-      cfg.shutdown.grace * MS_PER_SECOND - ABORT_MARGIN_MS,
-    ),
+    drainNoticeMs: Math.min(cfg.shutdown.notice, graceMs * MAX_NOTICE_SHARE),
+    drainLimitMs: Math.max(graceMs / 2, graceMs - ABORT_MARGIN_MS),
     retryRatio: cfg.retries.ratio,
     retryExtra: cfg.retries.extra,
     retryWindowMs: Math.max(
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -38,7 +38,7 @@
       fallback: '8',
     }),
     notice: integer(0, 600_000, {
-      help: 'Part of the grace period in which requests are still taken.',
+      help: 'Part of the grace period in which requests are still taken, at most three eighths of it.',
       unit: 'ms',
       fallback: '3000',
     }),
