Measure the memory of sixty engines that send without end at once

One such engine was tested in each place that reads foreign bytes; many at once on one gateway were not. Sixty endless heads, bodies or events stay below what a small VM leaves (150 MB). No fault was found, so that nothing else changes.

--- a/packages/gateway/src/endpoints/endless_answers.test.ts
+++ b/packages/gateway/src/endpoints/endless_answers.test.ts
@@ -106,3 +106,37 @@
   );
   assert.ok(growth < MAX_MEMORY_BYTES, `${growth} bytes`);
 });
+
+const AT_ONCE = 60;
+/** A small VM has 250 MB, of which a process without requests takes 75. */
+const MAX_TOTAL_BYTES = 150 * 1_048_576;
+
+// One gateway kept what many engines sent without end, and ran out of memory.
+for (const [what, start] of [
+  ['heads', OK],
+  ['bodies', `${OK}\r\n`],
+  ['events', `${EVENTS}\r\nid: 1\ndata: `],
+] as const) {
+  test(`LOST: ${AT_ONCE} ${what} without end at once leave room on a small VM`, async t => {
+    const harness = createAttemptHarness();
+    const replies = Array.from({length: AT_ONCE}, () => endlessReply(start, x));
+    const endpoints = await Promise.all(
+      replies.map(({reply}) => startRawEndpoint(reply)),
+    );
+    t.after(async () => {
+      await harness.runner.dispose();
+      await Promise.all(endpoints.map(endpoint => endpoint.close()));
+    });
+    endpoints.forEach(({address}, i) => {
+      const reqId = `r${i}`;
+      harness.request(reqId);
+      const endpoint = `e${i}`;
+      harness.runner.start(attemptAction({reqId, endpoint, address}));
+    });
+    const closed = Promise.all(replies.map(reply => reply.closed));
+    const growth = await peakGrowth(closed);
+    const ended = harness.events.filter(({kind}) => kind === 'attempt_failed');
+    assert.equal(ended.length, AT_ONCE);
+    assert.ok(growth < MAX_TOTAL_BYTES, `${growth} bytes`);
+  });
+}
