Judge the parts of a lifted verdict where the answer came

If it is lifted, the others were to be judged at once, but only by a gateway that had seen an engine end with them itself. At any other, the cause went free until the next end.

The test of that lifts the verdict at such a gateway now: it fails before this change and passes now.

--- a/packages/core/src/quarantine/crash_evidence.ts
+++ b/packages/core/src/quarantine/crash_evidence.ts
@@ -42,7 +42,7 @@
     trials.settle(held);
     // A verdict that is lifted may have covered that on the real cause.
     for (const part of verdicts.cleared(ctx, held)) {
-      if (ledger.isSufficient(part)) reviews.schedule(part, ctx.nowMs);
+      if (ledger.isSufficient(part)) verdicts.convict(ctx, part);
     }
     if (doubted.length === 0) return;
     for (const part of doubted) reportStanding(ctx, part, 'clear', 0, '');
--- a/packages/core/src/quarantine/long_prompts_model.test.ts
+++ b/packages/core/src/quarantine/long_prompts_model.test.ts
@@ -66,7 +66,8 @@
     fleet.run(SECOND_MS);
   }
   const before = arrivalsOf(fleet, DEADLY_PART);
-  fleet.send(0, {sharedParts: first});
+  // A gateway that has seen none of the engines end.
+  fleet.send(6, {sharedParts: first});
   fleet.run(SECOND_MS);
   for (let i = 0; i < 7; i++) {
     const other = fleet.send(i, {sharedParts: ['another', DEADLY_PART]});
