--- a/review/left-out/run.sh
+++ /dev/null
@@ -1,4 +0,0 @@
-#!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
-cd "$(dirname "$0")" || exit 2
-exec node case.mjs
