Count the requests that wait without going through all of them

Cause: waitingFor copied and filtered all open requests for each request that found no capacity, at its arrival and then every 50 ms.

The requests that wait are now counted by service as they begin and end to wait, in one record that alone changes nextCapacityCheckMs.

--- a/packages/core/src/forwarding/capacity_wait.ts
+++ b/packages/core/src/forwarding/capacity_wait.ts
@@ -9,6 +9,7 @@
 import {staggeredRetryMs} from './retry_after.js';
 import {logNoRoute} from './route_log.js';
 import {isTooLate} from './serves_in_time.js';
+import type {WaitingRequests} from './waiting_requests.js';
 
 /** Interval of capacity checks, which cost processor time. */
 const CAPACITY_CHECK_INTERVAL_MS = 50;
@@ -31,13 +32,13 @@
 export interface CapacityWaitParts {
   configuration: PublishedConfiguration;
   selection: EndpointSelection;
-  requests: ReadonlyMap<string, ForwardedRequest>;
+  waiting: WaitingRequests;
   end: RequestEnd;
 }
 
 /** Creates the waits for capacity. */
 export function createCapacityWait(parts: CapacityWaitParts): CapacityWait {
-  const {configuration, selection, requests, end} = parts;
+  const {configuration, selection, waiting, end} = parts;
 
   function awaitOrRefuse(
     ctx: GatewayContext,
@@ -52,7 +53,7 @@
     if (selection.drainsExclude(req.service, choiceRequestOf(req, nowMs))) {
       return end.failUnserved(ctx, req);
     }
-    const ahead = waitingFor(req.service);
+    const ahead = waiting.count(req.service);
     const openMs = selection.closedUntilMs(nowMs, req.service, ahead);
     if (openMs !== undefined) return awaitOpening(ctx, req, openMs);
     const waitEndMs = capacityWaitEndMs(req);
@@ -60,10 +61,8 @@
     if (hopeless || nowMs >= waitEndMs) {
       return end.failUnserved(ctx, req, staggeredRetryMs(ctx, req, slow));
     }
-    req.nextCapacityCheckMs = Math.min(
-      nowMs + CAPACITY_CHECK_INTERVAL_MS,
-      waitEndMs,
-    );
+    const checkMs = nowMs + CAPACITY_CHECK_INTERVAL_MS;
+    waiting.wait(req, Math.min(checkMs, waitEndMs));
   }
 
   /**
@@ -80,13 +79,7 @@
     if (openMs >= pauseWaitEndMs(req)) {
       return end.failUnserved(ctx, req, checkMs - ctx.nowMs);
     }
-    req.nextCapacityCheckMs = checkMs;
-  }
-
-  function waitingFor(service: string): number {
-    return [...requests.values()].filter(
-      req => req.service === service && req.nextCapacityCheckMs !== undefined,
-    ).length;
+    waiting.wait(req, checkMs);
   }
 
   return {awaitOrRefuse};
--- a/packages/core/src/forwarding/dispatcher.ts
+++ b/packages/core/src/forwarding/dispatcher.ts
@@ -13,6 +13,7 @@
 import {createCapacityWait} from './capacity_wait.js';
 import {logRoute} from './route_log.js';
 import {servesInTime, targetEndMs} from './serves_in_time.js';
+import type {WaitingRequests} from './waiting_requests.js';
 
 /** Planning a start does not pay for shorter waits. */
 const MIN_PLANNED_WAIT_MS = 15;
@@ -44,14 +45,15 @@
   requests: Map<string, ForwardedRequest>;
   selection: EndpointSelection;
   reservations: Pick<MemoryReservations, 'reserve' | 'release'>;
+  waiting: WaitingRequests;
   end: RequestEnd;
   shares: CustomerShares;
 }
 
 /** Creates a dispatcher. */
 export function createDispatcher(parts: DispatcherParts): Dispatcher {
-  const {requests, configuration, selection, reservations, quarantine, end} =
-    parts;
+  const {requests, configuration, selection, reservations, quarantine} = parts;
+  const {waiting, end} = parts;
   const {start, announceWork} = createAttemptStart(parts);
   const capacity = createCapacityWait(parts);
   const {shares} = parts;
@@ -67,7 +69,7 @@
     if (!choice || !servesInTime(nowMs, req, choice, allowance)) {
       return capacity.awaitOrRefuse(ctx, req, choice);
     }
-    req.nextCapacityCheckMs = undefined;
+    waiting.leave(req);
     if (choice.startInMs >= MIN_PLANNED_WAIT_MS)
       return planStart(ctx, req, choice);
     reserveOrStart(ctx, req, choice);
@@ -78,7 +80,7 @@
     if (req.nextCapacityCheckMs === undefined) {
       reportAdmission(ctx, req.reqId, req.arrived.sharedParts, 'wait');
     }
-    req.nextCapacityCheckMs = ctx.nowMs + TRIAL_CHECK_INTERVAL_MS;
+    waiting.wait(req, ctx.nowMs + TRIAL_CHECK_INTERVAL_MS);
   }
 
   /** Prefers engines that no trial endangers; a trial, those with least work. */
--- a/packages/core/src/forwarding/forwarded_request.ts
+++ b/packages/core/src/forwarding/forwarded_request.ts
@@ -28,7 +28,10 @@
   attempts: number;
   current: CurrentAttempt | undefined;
   plannedStart: PlannedStart | undefined;
-  /** Steady clock; next capacity check; undefined if it does not wait. */
+  /**
+   * Steady clock; next capacity check; undefined if it does not wait. Only the
+   * record of waiting requests changes it.
+   */
   nextCapacityCheckMs: number | undefined;
   /** Steady clock; when its failure is answered; undefined if it goes on. */
   failsAtMs: number | undefined;
--- a/packages/core/src/forwarding/forwarding.ts
+++ b/packages/core/src/forwarding/forwarding.ts
@@ -28,6 +28,7 @@
 import {createWorkObserver} from './work_observer.js';
 import type {RetryBudget} from './retry_budget.js';
 import {RETRY_AFTER_MS} from './retry_after.js';
+import {createWaitingRequests} from './waiting_requests.js';
 
 /** Handles requests from their arrival to their final answer. */
 export interface Forwarding extends GatewayFeature {
@@ -79,7 +80,8 @@
       dispatcher.onMemoryRefused(ctx, reqId, engine),
   });
   const lostEngines = createLostEngines(parts);
-  const shared = {...parts, requests, reservations, lostEngines};
+  const waiting = createWaitingRequests();
+  const shared = {...parts, requests, waiting, reservations, lostEngines};
   const end = createRequestEnd(shared);
   const shares = createCustomerShares();
   const dispatcher = createDispatcher({...shared, end, shares});
--- a/packages/core/src/forwarding/request_end.ts
+++ b/packages/core/src/forwarding/request_end.ts
@@ -6,6 +6,7 @@
 import type {Refusal} from './refusal.js';
 import {reportEnd} from './report_end.js';
 import {RETRY_AFTER_MS} from './retry_after.js';
+import type {WaitingRequests} from './waiting_requests.js';
 
 /** Gives requests their final answers and releases what they hold. */
 export interface RequestEnd {
@@ -36,6 +37,7 @@
 /** Dependencies of the end of requests. */
 export interface RequestEndParts {
   requests: Map<string, ForwardedRequest>;
+  waiting: Pick<WaitingRequests, 'leave'>;
   gossip: FleetGossip;
   reservations: Pick<MemoryReservations, 'release'>;
   quarantine: Pick<Quarantine, 'withdrawn'>;
@@ -43,7 +45,7 @@
 
 /** Creates the handling of the end of requests. */
 export function createRequestEnd(parts: RequestEndParts): RequestEnd {
-  const {requests, gossip, reservations, quarantine} = parts;
+  const {requests, waiting, gossip, reservations, quarantine} = parts;
 
   function cancelPlannedStart(req: ForwardedRequest): void {
     if (req.plannedStart) gossip.workEnded(req.plannedStart.work.id);
@@ -60,6 +62,7 @@
     cancelPlannedStart(req);
     reservations.release(ctx, req.reqId);
     quarantine.withdrawn(ctx, req.reqId);
+    waiting.leave(req);
     requests.delete(req.reqId);
     reportEnd(ctx, req, outcome, detail);
   }
