Count the heads of requests against the memory budget

Cause: the budget held bodies and answers only. A head of 15 KB takes up to 265 KB of the JavaScript heap, and its request keeps it until the answer.

A request's head now counts with its body, by 128 bytes a line beside its bytes; usual heads are within the 24 KiB that each connection is granted anyway. Heads may take a fifth of the heap (memory.heads), as the process ends at the limit of the heap, whatever memory the machine has. A body that is not complete and holds most of the heap makes room; a refused request drops its head at once, as the connection may linger for a second.

Ruled out: Node's maxHeadersCount, which leaves out lines of proper requests; a budget of its own for heads, which the smallest VM has no room for.

--- a/packages/gateway/src/gateway_limits.ts
+++ b/packages/gateway/src/gateway_limits.ts
@@ -48,7 +48,8 @@
 export function createGatewayLimits(parts: GatewayLimitsParts): GatewayLimits {
   const {metrics, logger} = parts;
   let {cfg} = parts;
-  const budget = createMemoryBudget(processLimits(cfg).budgetBytes);
+  const {budgetBytes, heapBytes} = processLimits(cfg);
+  const budget = createMemoryBudget(budgetBytes, heapBytes);
   const dropped = {bodies: 0, answers: 0, connections: 0};
   const timer = setInterval(interval, INTERVAL_MS);
   timer.unref();
@@ -89,7 +90,8 @@
     connectionClosed: () => count('connections', 'bound'),
     apply: next => {
       cfg = next;
-      budget.setMaxBytes(processLimits(cfg).budgetBytes);
+      const changed = processLimits(cfg);
+      budget.setMaxBytes(changed.budgetBytes, changed.heapBytes);
     },
     dispose: () => clearInterval(timer),
   };
--- a/packages/runtime/src/http/body_reader.ts
+++ b/packages/runtime/src/http/body_reader.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {Err, type Result} from '@wisterialadder/core/shared/result.js';
+import {headHeapBytes} from '../memory/head_bytes.js';
 import type {MemoryBudget} from '../memory/memory_budget.js';
 import type {BodyError} from './body_error.js';
 import type {BodyRate} from './body_rate.js';
@@ -10,7 +11,10 @@
 
 /** Reads bodies within the memory budget of the process. */
 export interface BodyReader {
-  /** Reads a body; its memory counts until the answer is closed. */
+  /**
+   * Reads a body; its memory and that of its head count until the answer is
+   * closed.
+   */
   read(
     req: IncomingMessage,
     res: ServerResponse,
@@ -57,7 +61,11 @@
     let drop = (_reason: BodyError): void => undefined;
     const dropped = new Promise<BodyError>(resolve => (drop = resolve));
     const holder = new UnfinishedBody(parts.rate(), performance.now(), drop);
-    budget.tryTake(holder, 0);
+    const headBytes = headHeapBytes(req);
+    if (!budget.resize(holder, headBytes, headBytes)) {
+      req.resume();
+      return Err('memory_short');
+    }
     res.on('close', () => budget.remove(holder));
     const body = await readBody(req, maxBytes, {
       tryTake: bytes => budget.tryTake(holder, bytes),
--- a/packages/runtime/src/http/linger_close.ts
+++ b/packages/runtime/src/http/linger_close.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {releaseHead} from '../memory/head_bytes.js';
 import type {LingerLimits} from './linger_limits.js';
 
 /**
@@ -12,6 +13,7 @@
   {timeoutMs, maxBytes}: LingerLimits,
 ): void {
   res.setHeader('connection', 'close');
+  releaseHead(req);
   const {socket} = req;
   if (req.complete || socket.destroyed) return;
   let discardedBytes = 0;
--- a/packages/runtime/src/http/request_intake.ts
+++ b/packages/runtime/src/http/request_intake.ts
@@ -37,8 +37,8 @@
   cfg: IntakeSettings,
   metrics: Metrics,
 ): RequestIntake {
-  const {budgetBytes, callerConnections} = processLimits(cfg);
-  const budget = createMemoryBudget(budgetBytes);
+  const {budgetBytes, heapBytes, callerConnections} = processLimits(cfg);
+  const budget = createMemoryBudget(budgetBytes, heapBytes);
   let connections: ConnectionBound | undefined;
   const timer = setInterval(
     () => budget.nextInterval(performance.now()),
--- a/packages/runtime/src/memory/memory_budget.test.ts
+++ b/packages/runtime/src/memory/memory_budget.test.ts
@@ -76,3 +76,26 @@
     {numRuns: 200, seed: 11},
   );
 });
+
+// The heap has a limit of its own, at which the process ends.
+test('the holder with the most of the heap makes room there, no other does', () => {
+  const budget = createMemoryBudget(MAX_BYTES, 50);
+  const body = heldBy(budget, 45);
+  const [large, small] = [new Evictable(), new Evictable()];
+  assert.ok(budget.resize(large, 30, 30));
+  assert.ok(budget.resize(small, 10, 10));
+  const added = new KeptBytes();
+  assert.ok(budget.resize(added, 15, 15));
+  const evicted = [body, large, small].map(holder => holder.evicted);
+  assert.deepEqual(evicted, [false, true, false]);
+  assert.equal(budget.heldBytes(), 70);
+  budget.remove(added);
+  assert.ok(budget.resize(new KeptBytes(), 40, 40));
+});
+
+test('what must not be dropped keeps its part of the heap', () => {
+  const budget = createMemoryBudget(MAX_BYTES, 50);
+  assert.ok(budget.resize(new KeptBytes(), 40, 40));
+  assert.ok(!budget.resize(new KeptBytes(), 20, 20));
+  assert.equal(budget.heldBytes(), 40);
+});
--- a/packages/runtime/src/memory/memory_budget.ts
+++ b/packages/runtime/src/memory/memory_budget.ts
@@ -8,6 +8,11 @@
    * evict, or nothing else can be
    */
   tryTake(holder: MemoryHolder, bytes: number): boolean;
+  /**
+   * Changes what a holder has, in the same way.
+   * @param heapBytes part of the bytes that lies in the JavaScript heap
+   */
+  resize(holder: MemoryHolder, bytes: number, heapBytes: number): boolean;
   giveBack(holder: MemoryHolder, bytes: number): void;
   /** Gives back everything that a holder has. */
   remove(holder: MemoryHolder): void;
@@ -19,34 +24,69 @@
   nextInterval(nowMs: number): void;
   heldBytes(): number;
   maxBytes(): number;
-  setMaxBytes(maxBytes: number): void;
+  setMaxBytes(maxBytes: number, maxHeapBytes?: number): void;
 }
 
-/** Creates an unused budget. */
-export function createMemoryBudget(initialMaxBytes: number): MemoryBudget {
+type CostOf = (holder: MemoryHolder) => number;
+
+const costOfBytes: CostOf = holder => holder.evictionCost();
+const costOfHeap: CostOf = holder => holder.heapEvictionCost();
+
+/**
+ * Creates an unused budget.
+ * @param initialMaxHeapBytes largest part of it that may lie in the JavaScript
+ * heap, which has a limit of its own
+ */
+export function createMemoryBudget(
+  initialMaxBytes: number,
+  initialMaxHeapBytes = initialMaxBytes,
+): MemoryBudget {
   const holders = new Set<MemoryHolder>();
   let maxBytes = initialMaxBytes;
+  let maxHeapBytes = initialMaxHeapBytes;
   let heldBytes = 0;
+  let heapBytes = 0;
 
   function tryTake(holder: MemoryHolder, bytes: number): boolean {
-    while (heldBytes + bytes > maxBytes) {
-      const victim = costliest();
-      if (!victim || victim === holder) return false;
-      victim.evict();
-      remove(victim);
+    return resize(holder, holder.heldBytes + bytes, holder.heapBytes);
+  }
+
+  function resize(
+    holder: MemoryHolder,
+    nextBytes: number,
+    nextHeapBytes: number,
+  ): boolean {
+    const addedBytes = nextBytes - holder.heldBytes;
+    const addedHeapBytes = nextHeapBytes - holder.heapBytes;
+    while (addedBytes > 0 && heldBytes + addedBytes > maxBytes) {
+      if (!evictFor(holder, costOfBytes)) return false;
+    }
+    while (addedHeapBytes > 0 && heapBytes + addedHeapBytes > maxHeapBytes) {
+      if (!evictFor(holder, costOfHeap)) return false;
     }
     holders.add(holder);
-    holder.heldBytes += bytes;
-    heldBytes += bytes;
+    holder.heldBytes = nextBytes;
+    holder.heapBytes = nextHeapBytes;
+    heldBytes += addedBytes;
+    heapBytes += addedHeapBytes;
+    return true;
+  }
+
+  function evictFor(asking: MemoryHolder, costOf: CostOf): boolean {
+    const victim = costliest(costOf, 0);
+    if (!victim || victim === asking) return false;
+    victim.evict();
+    remove(victim);
     return true;
   }
 
-  function costliest(): MemoryHolder | undefined {
+  /** The holder with the highest cost above a bound. */
+  function costliest(costOf: CostOf, above: number): MemoryHolder | undefined {
     let worst: MemoryHolder | undefined;
-    let worstCost = -1;
+    let worstCost = above;
     for (const holder of holders) {
       if (!holder.isEvictable()) continue;
-      const cost = holder.evictionCost();
+      const cost = costOf(holder);
       if (cost <= worstCost) continue;
       worst = holder;
       worstCost = cost;
@@ -62,11 +102,13 @@
 
   function remove(holder: MemoryHolder): void {
     giveBack(holder, holder.heldBytes);
+    heapBytes -= holder.heapBytes;
+    holder.heapBytes = 0;
     holders.delete(holder);
   }
 
   function evictCostliest(): boolean {
-    const victim = costliest();
+    const victim = costliest(costOfBytes, -1);
     if (!victim) return false;
     victim.evict();
     // Also if it keeps its memory, else it would be asked again and again.
@@ -85,6 +127,7 @@
 
   return {
     tryTake,
+    resize,
     giveBack,
     remove,
     evictCostliest,
@@ -97,8 +140,9 @@
     },
     heldBytes: () => heldBytes,
     maxBytes: () => maxBytes,
-    setMaxBytes: next => {
+    setMaxBytes: (next, nextHeapBytes = next) => {
       maxBytes = next;
+      maxHeapBytes = nextHeapBytes;
     },
   };
 }
--- a/packages/runtime/src/memory/memory_holder.ts
+++ b/packages/runtime/src/memory/memory_holder.ts
@@ -2,6 +2,8 @@
 export abstract class MemoryHolder {
   /** Bytes that the budget has granted; only the budget changes it. */
   heldBytes = 0;
+  /** Part of them that lies in the JavaScript heap. */
+  heapBytes = 0;
   /** Bytes that moved in this interval and in the one before. */
   private movedBytes = 0;
   private movedBefore = 0;
@@ -32,7 +34,16 @@
    * that hold little, however slow they are.
    */
   evictionCost(): number {
+    return this.costOf(this.heldBytes);
+  }
+
+  /** The same for what it holds of the JavaScript heap. */
+  heapEvictionCost(): number {
+    return this.costOf(this.heapBytes);
+  }
+
+  private costOf(bytes: number): number {
     const rate = 1 + Math.max(this.movedBytes, this.movedBefore);
-    return (this.heldBytes * this.heldBytes) / rate;
+    return (bytes * bytes) / rate;
   }
 }
--- a/packages/runtime/src/memory/process_limits.test.ts
+++ b/packages/runtime/src/memory/process_limits.test.ts
@@ -6,7 +6,7 @@
 
 function limitsOf(totalMb: number, descriptors: number) {
   return processLimits({
-    memory: {total: totalMb, process: 90, budget: 0},
+    memory: {total: totalMb, process: 90, budget: 0, heads: 0},
     connections: {descriptors, callers: 0},
   });
 }
--- a/packages/runtime/src/memory/process_limits.ts
+++ b/packages/runtime/src/memory/process_limits.ts
@@ -1,3 +1,4 @@
+import {getHeapStatistics} from 'node:v8';
 import type {
   CONNECTIONS_SECTION,
   MEMORY_SECTION,
@@ -15,6 +16,8 @@
  * copied once when it is complete.
  */
 const BUDGET_SHARE = 0.3;
+/** The rest is for the program, and for what each connection takes. */
+const HEAP_SHARE = 0.2;
 /** One body and its answer must fit on any VM. */
 const MIN_BUDGET_BYTES = 12 * BYTES_PER_MB;
 
@@ -28,6 +31,8 @@
 export interface ProcessLimits {
   /** Bytes of the memory budget. */
   budgetBytes: number;
+  /** Part of the budget that may lie in the JavaScript heap. */
+  heapBytes: number;
   callerConnections: number;
 }
 
@@ -37,6 +42,7 @@
   return {
     callerConnections,
     budgetBytes: budgetBytesOf(cfg, callerConnections),
+    heapBytes: heapBytesOf(cfg),
   };
 }
 
@@ -46,6 +52,11 @@
   return Math.max(1, Math.floor(descriptors * CALLER_SHARE));
 }
 
+function heapBytesOf({memory}: ProcessLimitSettings): number {
+  if (memory.heads > 0) return memory.heads * BYTES_PER_MB;
+  return Math.floor(getHeapStatistics().heap_size_limit * HEAP_SHARE);
+}
+
 function budgetBytesOf(
   {memory}: ProcessLimitSettings,
   connections: number,
--- a/packages/runtime/src/settings/limit_sections.ts
+++ b/packages/runtime/src/settings/limit_sections.ts
@@ -17,6 +17,11 @@
     unit: 'MB',
     fallback: '0',
   }),
+  heads: decimal(0, 16_777_216, {
+    help: 'Part of the budget for heads of requests of more than 4 KB in memory; 0 takes a fifth of the JavaScript heap.',
+    unit: 'MB',
+    fallback: '0',
+  }),
 };
 
 /** Bounds on the connections of callers. */
