Parse the requests of a connection one after the other, and in turns

Cause: Node.js reads 64 KiB and parses all requests in them at once. Each begins, takes an endpoint's connection and an answer, and an answer behind another one has no socket: nothing evicts it, and it never emits close, on which the release of its memory and the end of its request wait. Heads and trailers that are not complete were in no budget.

Bytes are passed on in pieces that begin one request at most, the next one when the answer before is closed, so each answer has its socket, and its close always comes. What waits counts against the budget, and the connection is what is given up; beyond 64 KiB the client waits. No request is refused for being pipelined. That replaces the pacer of small chunks, which gave the 65th body of such chunks up.

Ruled out: a limit on the requests of a connection, which proper clients may meet; Node's parser.pause, which is internal and loses the rest of the bytes; a stream between socket and server, which costs on every write as well.

--- a/packages/gateway/src/callers/caller_server.ts
+++ b/packages/gateway/src/callers/caller_server.ts
@@ -10,12 +10,14 @@
 import type {GatewayEvent} from '@wisterialadder/core/gateway/events/gateway_event.js';
 import type {BodyError} from '@wisterialadder/runtime/http/body_error.js';
 import {createBodyReader} from '@wisterialadder/runtime/http/body_reader.js';
+import {feedConnections} from '@wisterialadder/runtime/http/connection_feeds.js';
 import {boundConnections} from '@wisterialadder/runtime/http/connection_bound.js';
 import {splitAddress} from '@wisterialadder/runtime/http/http_server.js';
 import {lingerClose} from '@wisterialadder/runtime/http/linger_close.js';
 import type {Disposable} from '@wisterialadder/runtime/lifecycle/disposable.js';
 import type {MemoryBudget} from '@wisterialadder/runtime/memory/memory_budget.js';
 import type {CallerCodec} from './caller_codec.js';
+import type {ConnectionEnd} from './connection_end.js';
 import {close, listen} from './caller_listener.js';
 import type {IntakeLimits} from './intake_limits.js';
 import type {OpenRequests} from './open_requests.js';
@@ -60,8 +62,8 @@
   onError(err: unknown): void;
   /** Called for each body that is given up. */
   onBodyDropped(reason: BodyError): void;
-  /** Called for each connection that is closed for the bound. */
-  onConnectionClosed(): void;
+  /** Called for each connection that is closed for a limit. */
+  onConnectionClosed(reason: ConnectionEnd): void;
 }
 
 /** Starts the server; rejects if the address cannot be bound. */
@@ -90,14 +92,18 @@
   const connections = boundConnections(server, {
     maxConnections: parts.maxConnections,
     evictBody: budget.evictCostliest,
-    onClosed: parts.onConnectionClosed,
+    onClosed: () => parts.onConnectionClosed('bound'),
   });
+  const feeds = feedConnections(server, budget, () =>
+    parts.onConnectionClosed('memory_short'),
+  );
   const bodies = createBodyReader({
     budget,
     rate: () => ({
       minBytesPerS: parts.intake().minBytesPerS,
       windowMs: idleTimeoutMs + IDLE_MARGIN_MS,
     }),
+    onReceived: feeds.bodyReceived,
     onDropped: parts.onBodyDropped,
   });
   const receiver = createRequestReceiver({
@@ -130,6 +136,7 @@
     applyLimits,
     closeCallers: idleToo => {
       closing = true;
+      feeds.flush();
       if (idleToo) server.closeIdleConnections();
     },
     closing: () => closing,
@@ -140,6 +147,7 @@
       receiver.end();
       // For requests on connections that have just been accepted.
       await sleep(REFUSING_MS);
+      feeds.flush();
       await close(server);
     },
   };
--- a/packages/gateway/src/gateway_limits.ts
+++ b/packages/gateway/src/gateway_limits.ts
@@ -11,6 +11,7 @@
 import type {Metrics} from '@wisterialadder/runtime/metrics/create_metrics.js';
 import type {SettingsOf} from '@wisterialadder/runtime/settings/settings_definition.js';
 import type {AnswerLimits} from './callers/answer_limits.js';
+import type {ConnectionEnd} from './callers/connection_end.js';
 import type {IntakeLimits} from './callers/intake_limits.js';
 import type {GATEWAY_SETTINGS} from './settings.js';
 
@@ -31,7 +32,7 @@
   maxInterim(): number;
   bodyDropped(reason: BodyError): void;
   answerDropped(): void;
-  connectionClosed(): void;
+  connectionClosed(reason: ConnectionEnd): void;
   apply(cfg: Settings): void;
 }
 
@@ -87,7 +88,7 @@
       if (reason !== 'aborted') count('bodies', reason);
     },
     answerDropped: () => count('answers', 'unread'),
-    connectionClosed: () => count('connections', 'bound'),
+    connectionClosed: reason => count('connections', reason),
     apply: next => {
       cfg = next;
       const changed = processLimits(cfg);
--- a/packages/runtime/src/http/body_reader.ts
+++ b/packages/runtime/src/http/body_reader.ts
@@ -6,15 +6,11 @@
 import type {BodyError} from './body_error.js';
 import type {BodyRate} from './body_rate.js';
 import {announcedBytes, readBody} from './read_body.js';
-import {createSmallChunkPacer} from './small_chunk_pacer.js';
 import {UnfinishedBody} from './unfinished_body.js';
 
 /** Reads bodies within the memory budget of the process. */
 export interface BodyReader {
-  /**
-   * Reads a body; its memory and that of its head count until the answer is
-   * closed.
-   */
+  /** Reads a body; its memory and that of its head count until the answer is closed. */
   read(
     req: IncomingMessage,
     res: ServerResponse,
@@ -26,6 +22,8 @@
 export interface BodyReaderParts {
   budget: MemoryBudget;
   rate(): BodyRate;
+  /** Called for each part of a body. */
+  onReceived?(req: IncomingMessage, bytes: number): void;
   /** Called for each body that is given up. */
   onDropped(reason: BodyError): void;
 }
@@ -33,18 +31,12 @@
 /** Creates a reader; the owner of the budget starts its intervals. */
 export function createBodyReader(parts: BodyReaderParts): BodyReader {
   const {budget} = parts;
-  const pacer = createSmallChunkPacer();
 
   async function read(
     req: IncomingMessage,
     res: ServerResponse,
     maxBytes: number,
   ): Promise<Result<Buffer, BodyError>> {
-    // A request behind one that was refused could not be answered.
-    if (req.socket.writableEnded) {
-      req.socket.destroy();
-      return Err('aborted');
-    }
     const announced = announcedBytes(req);
     if (announced <= maxBytes && !budget.canHold(announced)) {
       req.resume();
@@ -71,7 +63,7 @@
       tryTake: bytes => budget.tryTake(holder, bytes),
       received: bytes => {
         holder.moved(bytes);
-        return !holder.isSmall(pacer) || pacer.pace(req.socket);
+        parts.onReceived?.(req, bytes);
       },
       dropped,
     });
--- a/packages/runtime/src/http/http_server.ts
+++ b/packages/runtime/src/http/http_server.ts
@@ -6,8 +6,8 @@
 import type {AddressInfo} from 'node:net';
 import type {Disposable} from '../lifecycle/disposable.js';
 import type {HttpRoute} from './http_route.js';
-import type {RequestIntake} from './request_intake.js';
 import {sendJson} from './send_json.js';
+import type {ServerIntake} from './server_intake.js';
 
 /** Time until a disposed server closes connections that are still open. */
 const CLOSE_TIMEOUT_MS = 2_000;
@@ -26,7 +26,7 @@
   address: string,
   routes: HttpRoute[],
   onError: (err: unknown) => void,
-  intake?: RequestIntake,
+  intake?: ServerIntake,
 ): Promise<HttpServer> {
   const server = createServer((req, res) => {
     handleRequest(routes, req, res).catch((err: unknown) => {
--- a/packages/runtime/src/http/read_body.ts
+++ b/packages/runtime/src/http/read_body.ts
@@ -7,15 +7,15 @@
 export interface BodyHold {
   /** Takes memory for the body; false if there is none. */
   tryTake(bytes: number): boolean;
-  /** Called with each part; false if the body is not read any further. */
-  received(bytes: number): boolean;
+  /** Called with each part. */
+  received(bytes: number): void;
   /** Settles if the body is given up before its end. */
   dropped: Promise<BodyError>;
 }
 
 const UNLIMITED: BodyHold = {
   tryTake: () => true,
-  received: () => true,
+  received: () => undefined,
   dropped: new Promise(() => undefined),
 };
 
@@ -37,8 +37,8 @@
     let settled = false;
     const onData = (part: Buffer): void => {
       if (body.length() + part.length > maxBytes) return fail('too_large');
-      if (!hold.received(part.length) || !body.append(part))
-        fail('memory_short');
+      hold.received(part.length);
+      if (!body.append(part)) fail('memory_short');
     };
     function fail(reason: BodyError): void {
       // An error is costly to create, and a close follows each body.
--- a/packages/runtime/src/http/request_intake.ts
+++ b/packages/runtime/src/http/request_intake.ts
@@ -1,4 +1,4 @@
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import type {Disposable} from '../lifecycle/disposable.js';
 import {createMemoryBudget} from '../memory/memory_budget.js';
@@ -10,9 +10,11 @@
 import type {BODIES_SECTION} from '../settings/limit_sections.js';
 import type {SettingsOf} from '../settings/settings_definition.js';
 import {createBodyReader, type BodyReader} from './body_reader.js';
+import {feedConnections, type ConnectionFeeds} from './connection_feeds.js';
 import {boundConnections, type ConnectionBound} from './connection_bound.js';
 import {lingerClose} from './linger_close.js';
 import {lingerLimitsOf} from './linger_limits.js';
+import type {ServerIntake} from './server_intake.js';
 
 /** Interval in which the progress of bodies counts. */
 const INTERVAL_MS = 1_000;
@@ -24,10 +26,8 @@
   SettingsOf<{bodies: typeof BODIES_SECTION}>;
 
 /** What the requests of a server may take of its process. */
-export interface RequestIntake extends Disposable {
+export interface RequestIntake extends ServerIntake, Disposable {
   readonly bodies: BodyReader;
-  /** Bounds the connections of a server that has none yet. */
-  bound(server: Server): void;
   /** Closes a connection after the answer that refuses its request. */
   closeAfter(req: IncomingMessage, res: ServerResponse): void;
 }
@@ -40,6 +40,7 @@
   const {budgetBytes, heapBytes, callerConnections} = processLimits(cfg);
   const budget = createMemoryBudget(budgetBytes, heapBytes);
   let connections: ConnectionBound | undefined;
+  let feeds: ConnectionFeeds | undefined;
   const timer = setInterval(
     () => budget.nextInterval(performance.now()),
     INTERVAL_MS,
@@ -57,6 +58,7 @@
         minBytesPerS: cfg.bodies.min_rate,
         windowMs: RATE_WINDOW_MS,
       }),
+      onReceived: (req, bytes) => feeds?.bodyReceived(req, bytes),
       onDropped: reason => {
         if (reason !== 'aborted') count('bodies', reason);
       },
@@ -67,6 +69,9 @@
         evictBody: budget.evictCostliest,
         onClosed: () => count('connections', 'bound'),
       });
+      feeds = feedConnections(server, budget, () =>
+        count('connections', 'memory_short'),
+      );
     },
     closeAfter: (req, res) => {
       lingerClose(req, res, lingerLimitsOf(cfg));
--- a/packages/runtime/src/http/unfinished_body.ts
+++ b/packages/runtime/src/http/unfinished_body.ts
@@ -1,7 +1,6 @@
 import {MemoryHolder} from '../memory/memory_holder.js';
 import type {BodyError} from './body_error.js';
 import type {BodyRate} from './body_rate.js';
-import type {SmallChunkPacer} from './small_chunk_pacer.js';
 
 const MS_PER_SECOND = 1_000;
 
@@ -9,8 +8,6 @@
 export class UnfinishedBody extends MemoryHolder {
   private complete = false;
   private windowBytes = 0;
-  private parts = 0;
-  private bytes = 0;
 
   constructor(
     private readonly rate: BodyRate,
@@ -36,13 +33,6 @@
   override moved(bytes: number): void {
     super.moved(bytes);
     this.windowBytes += bytes;
-    this.bytes += bytes;
-    this.parts += 1;
-  }
-
-  /** Whether it comes in chunks that are too small to be read at once. */
-  isSmall(pacer: SmallChunkPacer): boolean {
-    return pacer.isSmall(this.parts, this.bytes);
   }
 
   override check(nowMs: number): void {
--- a/packages/runtime/src/mocks/body_server.ts
+++ b/packages/runtime/src/mocks/body_server.ts
@@ -4,6 +4,7 @@
 import type {TestContext} from 'node:test';
 import {createBodyReader} from '../http/body_reader.js';
 import type {BodyRate} from '../http/body_rate.js';
+import {feedConnections} from '../http/connection_feeds.js';
 import {boundConnections} from '../http/connection_bound.js';
 import {lingerClose} from '../http/linger_close.js';
 import {
@@ -45,6 +46,7 @@
   const bodies = createBodyReader({
     budget,
     rate: () => limits.rate ?? {minBytesPerS: 0, windowMs: 1_000},
+    onReceived: (req, bytes) => feeds.bodyReceived(req, bytes),
     onDropped: () => undefined,
   });
   const server = createServer((req, res) => {
@@ -60,6 +62,7 @@
     evictBody: budget.evictCostliest,
     onClosed: () => undefined,
   });
+  const feeds = feedConnections(server, budget, () => undefined);
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   const {port} = server.address() as AddressInfo;
