Bound the clients of the operations port and of the readiness probe

Cause: both servers had no bound at all: each read of 64 KiB made some 1,500 pages of 50 KB each, and connections without a word took all descriptors.

--- a/packages/gateway/src/gateway_program.ts
+++ b/packages/gateway/src/gateway_program.ts
@@ -4,6 +4,7 @@
 import type {GatewayEvent} from '@wisterialadder/core/gateway/events/gateway_event.js';
 import {createGatewayNode} from '@wisterialadder/core/gateway/gateway_node.js';
 import {startHttpServer} from '@wisterialadder/runtime/http/http_server.js';
+import {createOpsIntake} from '@wisterialadder/runtime/http/ops_intake.js';
 import {startOpsServer} from '@wisterialadder/runtime/http/ops_server.js';
 import type {Readiness} from '@wisterialadder/runtime/http/readiness.js';
 import {logError} from '@wisterialadder/runtime/logging/log_error.js';
@@ -136,6 +137,7 @@
       cfg.caller.probe,
       probeRoutes(ports.readinessPath, readiness),
       onError,
+      createOpsIntake(),
     ),
   );
   const node = createGatewayNode(
--- a/packages/runtime/src/http/ops_server.ts
+++ b/packages/runtime/src/http/ops_server.ts
@@ -1,6 +1,7 @@
 import type {Metrics} from '../metrics/create_metrics.js';
 import type {HttpRoute} from './http_route.js';
 import {startHttpServer, type HttpServer} from './http_server.js';
+import {createOpsIntake} from './ops_intake.js';
 import {sendJson} from './send_json.js';
 import type {Readiness} from './readiness.js';
 
@@ -36,5 +37,6 @@
       },
     },
   ];
-  return startHttpServer(address, [...routes, ...extra], onError);
+  const intake = createOpsIntake();
+  return startHttpServer(address, [...routes, ...extra], onError, intake);
 }
