Serve heads within the limit whose lines have no spaces

Cause: the size was taken from the parsed lines with a space behind each colon, which is optional and which the parser does not tell.

The smallest size that the lines can have now decides, so no head within the limit is refused. A head over it by its spaces alone passes; the parser's own bound, twice the limit, is on the bytes.

--- a/packages/gateway/src/callers/caller_server.test.ts
+++ b/packages/gateway/src/callers/caller_server.test.ts
@@ -299,3 +299,39 @@
   await caller.closed;
   assert.ok(reset);
 });
+
+// Counted with a space behind each colon, such a head was over the limit.
+test('a head of short lines within the limit is not refused', async t => {
+  const harness = await fixture(t);
+  const caller = await harness.connect();
+  const start =
+    'POST /a HTTP/1.1\r\nhost:x\r\nreq-id:r1\r\ncontent-length:0\r\n';
+  const lines = Math.floor((LIMITS.maxHeadBytes - start.length - 2) / 4);
+  caller.socket.write(`${start}${'a:\r\n'.repeat(lines)}\r\n`);
+  await harness.waitForEvents(1);
+  assert.equal(harness.open.get('r1')?.head.rawHeaders.length, 2 * (lines + 3));
+});
+
+test('a request behind one that is refused is neither run nor answered', async t => {
+  const harness = await fixture(t);
+  const caller = await harness.connect();
+  caller.socket.write(post('x'.repeat(11)) + post('x', 'r2'));
+  await caller.closed;
+  assert.equal(caller.text().match(/HTTP\/1.1/g)?.length, 1);
+  assert.deepEqual(harness.events, []);
+});
+
+test('a request behind one whose caller has left is not reported', async t => {
+  const harness = await fixture(t);
+  const caller = await harness.connect();
+  caller.socket.write(post('x') + post('x'.repeat(10), 'r2'));
+  await harness.waitForEvents(1);
+  caller.socket.destroy();
+  await harness.waitForEvents(2);
+  assert.deepEqual(harness.events.at(-1), {kind: 'caller_left', reqId: 'r1'});
+  while (harness.server.connections() > 0) {
+    await new Promise(resolve => setTimeout(resolve, 2));
+  }
+  assert.equal(harness.events.length, 2);
+  assert.equal(harness.budget.heldBytes(), 0);
+});
--- a/packages/gateway/src/callers/request_receiver.ts
+++ b/packages/gateway/src/callers/request_receiver.ts
@@ -18,6 +18,9 @@
 /** Largest body that is read before the configured limit is known. */
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 
+/** At least a colon and a line end; spaces around a value are optional. */
+const LINE_OVERHEAD_BYTES = 3;
+
 /** How a body that could not be read is refused; none of them has run. */
 const BODY_REFUSALS: Record<Exclude<BodyError, 'aborted'>, Refusal> = {
   too_large: 'body_too_large',
@@ -137,10 +140,11 @@
   return {method: method ?? '', target: url ?? '', headers, rawHeaders};
 }
 
+/** Smallest size of a head, as the parser does not tell what it left out. */
 function headBytes({method, target, rawHeaders}: CallerHead): number {
-  // Adds a colon and a space to each name, a line end to each value.
+  const lines = rawHeaders.length / 2;
   return rawHeaders.reduce(
-    (sum, text) => sum + text.length + 2,
-    method.length + target.length,
+    (sum, text) => sum + text.length,
+    method.length + target.length + lines * LINE_OVERHEAD_BYTES,
   );
 }
