Let the fuzz of uncontrolled callers pipeline and send short lines

Cause: no fault; the fuzz had no requests behind others and no short header lines. The property of the splitter is said by the ends of all empty lines now.

--- a/packages/gateway/src/callers/uncontrolled_fuzz.test.ts
+++ b/packages/gateway/src/callers/uncontrolled_fuzz.test.ts
@@ -26,6 +26,9 @@
   action: fc.oneof(
     fc.constantFrom(
       HEAD,
+      `${HEAD}content-length: 0\r\n\r\n`.repeat(40),
+      `${HEAD}content-length: 9\r\n\r\n123456789`.repeat(40),
+      'ab:12\r\n'.repeat(200),
       `${HEAD}transfer-encoding: chunked\r\n\r\n`,
       `${HEAD}content-length: 40000\r\n\r\n`,
       `${HEAD}content-length: 99999999\r\n\r\n`,
@@ -69,8 +72,14 @@
         assert.ok(budget.heldBytes() <= BUDGET_BYTES);
       }
       // Complete requests may hold every connection; they get answers.
-      for (const {res} of [...open.values()]) res.end();
-      await sleep(2);
+      for (
+        let idleMs = 0;
+        idleMs < 5;
+        idleMs = open.size > 0 ? 0 : idleMs + 1
+      ) {
+        for (const {res} of [...open.values()]) res.end();
+        await sleep(1);
+      }
       const ordinary = await harness.connect();
       const request = 'POST /a HTTP/1.1\r\nhost: x\r\nreq-id: ordinary\r\n';
       ordinary.socket.write(`${request}content-length: 4\r\n\r\nbody`);
--- a/packages/runtime/src/http/piece_splitter.test.ts
+++ b/packages/runtime/src/http/piece_splitter.test.ts
@@ -37,6 +37,12 @@
   }
 });
 
+/** Positions behind the empty lines of a text. */
+function emptyLineEnds(text: string): number[] {
+  const ends = Array.from(text, (_, i) => i + 1);
+  return ends.filter(end => /\n\r?\n$/.test(text.slice(0, end)));
+}
+
 test('no piece holds bytes behind an empty line, however they arrive', () => {
   const part = fc.string({
     unit: fc.constantFrom('\r', '\n', 'a'),
@@ -45,17 +51,12 @@
   fc.assert(
     fc.property(fc.array(part, {maxLength: 8}), parts => {
       const found = pieces(parts);
-      assert.equal(found.join(''), parts.join(''));
-      let before = '';
-      for (const piece of found) {
-        const emptyLine = /\n\r?\n(?=[^]*$)/g;
-        const text = before.slice(-2) + piece;
-        for (const match of text.matchAll(emptyLine)) {
-          const end = match.index + match[0].length;
-          const isOld = end <= Math.min(2, before.length);
-          assert.ok(isOld || end === text.length, JSON.stringify(found));
-        }
-        before += piece;
+      const text = parts.join('');
+      assert.equal(found.join(''), text);
+      let end = 0;
+      const ends = new Set(found.map(piece => (end += piece.length)));
+      for (const emptyLineEnd of emptyLineEnds(text)) {
+        assert.ok(ends.has(emptyLineEnd), JSON.stringify(found));
       }
     }),
     fuzzRuns(500),
--- a/packages/runtime/src/settings/limit_sections.ts
+++ b/packages/runtime/src/settings/limit_sections.ts
@@ -13,7 +13,7 @@
     fallback: '90',
   }),
   budget: decimal(0, 16_777_216, {
-    help: 'Bodies, answers and unread bytes held at once; 0 takes three tenths of what total, process and connections leave.',
+    help: 'Bodies, heads, answers and unread bytes held at once; 0 takes three tenths of what total, process and connections leave.',
     unit: 'MB',
     fallback: '0',
   }),
