--- a/packages/core/src/forwarding/dispatcher.ts
+++ b/packages/core/src/forwarding/dispatcher.ts
@@ -53,10 +53,9 @@
 /** Creates a dispatcher. */
 export function createDispatcher(parts: DispatcherParts): Dispatcher {
   const {requests, configuration, selection, reservations, quarantine} = parts;
-  const {waiting, end} = parts;
+  const {waiting, end, shares} = parts;
   const {start, announceWork} = createAttemptStart(parts);
   const capacity = createCapacityWait(parts);
-  const {shares} = parts;
 
   function dispatch(ctx: GatewayContext, req: ForwardedRequest): void {
     const {nowMs} = ctx;
@@ -77,9 +76,8 @@
 
   /** Another request with a suspected cause of this one is on an engine. */
   function awaitTrial(ctx: GatewayContext, req: ForwardedRequest): void {
-    if (req.nextCapacityCheckMs === undefined) {
+    if (req.nextCapacityCheckMs === undefined)
       reportAdmission(ctx, req.reqId, req.arrived.sharedParts, 'wait');
-    }
     waiting.wait(req, ctx.nowMs + TRIAL_CHECK_INTERVAL_MS);
   }
 
--- a/packages/runtime/src/http/connection_feed.ts
+++ b/packages/runtime/src/http/connection_feed.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import {beyondGrant, unfinishedHeapBytes} from '../memory/head_bytes.js';
 import type {MemoryBudget} from '../memory/memory_budget.js';
+import {createPendingBytes} from './pending_bytes.js';
 import {createPieceSplitter} from './piece_splitter.js';
 import type {ReadTurns} from './read_turns.js';
 import {announcedBytes} from './read_body.js';
@@ -9,8 +10,6 @@
 
 /** A connection with more unparsed bytes is not read until some are parsed. */
 const MAX_PENDING_BYTES = 65_536;
-/** Memory of a buffer beside its bytes. */
-const BUFFER_BYTES = 512;
 
 /** Passes the bytes of a connection on to its parser. */
 export interface ConnectionFeed {
@@ -48,8 +47,7 @@
   const parse = takeParser(socket);
   const splitter = createPieceSplitter();
   const unparsed = new UnparsedBytes(giveUp);
-  let pending: Buffer[] = [];
-  let pendingBytes = 0;
+  const pending = createPendingBytes();
   /** Bytes that the parser keeps: a head, or what surrounds chunks. */
   let keptBytes = 0;
   /** Bytes of a body in the piece that is being parsed. */
@@ -63,8 +61,7 @@
   }
 
   function receive(bytes: Buffer): void {
-    pending.push(bytes);
-    pendingBytes += bytes.length + BUFFER_BYTES;
+    pending.add(bytes);
     pump();
   }
 
@@ -82,13 +79,13 @@
   function settle(): void {
     if (isParseable()) turns.wait(takeTurn);
     // Nothing is answered behind an answer that ends the connection.
-    else if (socket.writableEnded && !isReadingBody()) drop();
-    setPaused(pendingBytes > MAX_PENDING_BYTES);
+    else if (socket.writableEnded && !isReadingBody()) pending.clear();
+    setPaused(pending.heldBytes() > MAX_PENDING_BYTES);
     account();
   }
 
   function isParseable(): boolean {
-    if (pending.length === 0 || socket.destroyed) return false;
+    if (pending.isEmpty() || socket.destroyed) return false;
     if (current && isReadingBody()) return !isFull(current.req);
     // The server pauses its parser if it begins a request before the drain.
     if (socket.writableEnded || socket.writableNeedDrain) return false;
@@ -99,15 +96,9 @@
     return current !== undefined && !current.req.complete;
   }
 
-  function drop(): void {
-    pending = [];
-    pendingBytes = 0;
-  }
-
   function parsePiece(): void {
     if (current?.req.complete) current = undefined;
-    const piece = takePiece();
-    pendingBytes -= piece.length;
+    const piece = pending.take(pieceLength);
     // Bytes that wait are no progress, so they are given up first.
     unparsed.moved(piece.length);
     const unreadBytes = current?.req.readableLength ?? 0;
@@ -119,18 +110,6 @@
     if (bodyBytes > 0) keptBytes = Math.max(0, piece.length - bodyBytes);
   }
 
-  function takePiece(): Buffer {
-    const first = pending[0] ?? Buffer.alloc(0);
-    const length = pieceLength(first);
-    if (length < first.length) {
-      pending[0] = first.subarray(length);
-      return first.subarray(0, length);
-    }
-    pending.shift();
-    pendingBytes -= BUFFER_BYTES;
-    return first;
-  }
-
   function pieceLength(bytes: Buffer): number {
     if (current && current.bodyLeft > 0) {
       const length = Math.min(current.bodyLeft, bytes.length);
@@ -155,7 +134,7 @@
 
   function account(): void {
     const heapBytes = unfinishedHeapBytes(keptBytes);
-    const bytes = heapBytes + beyondGrant(pendingBytes);
+    const bytes = heapBytes + beyondGrant(pending.heldBytes());
     if (bytes === unparsed.heldBytes || socket.destroyed) return;
     if (bytes === 0) return budget.remove(unparsed);
     if (!budget.resize(unparsed, bytes, heapBytes)) giveUp();
@@ -180,7 +159,7 @@
   socket.once('close', () => {
     turns.cancel(takeTurn);
     budget.remove(unparsed);
-    drop();
+    pending.clear();
   });
 
   return {
--- a/scripts/process_tests/early_listener.test.mjs
+++ b/scripts/process_tests/early_listener.test.mjs
@@ -14,12 +14,20 @@
 
 const HOST = '127.0.0.1';
 
-/** Listens early as the start script does with this settings file. */
-async function listenWith(t, settings) {
+const SCRIPT = new URL('../../deploy/listen_early.mjs', import.meta.url);
+
+/** Writes settings to a file, which is removed when the test ends. */
+function settingsFile(t, settings) {
   const dir = mkdtempSync(join(tmpdir(), 'wl-early-'));
   t.after(() => rmSync(dir, {recursive: true, force: true}));
   const file = join(dir, 'gateway.ini');
   writeFileSync(file, settings);
+  return file;
+}
+
+/** Listens early as the start script does with this settings file. */
+async function listenWith(t, settings) {
+  const file = settingsFile(t, settings);
   process.env.WISTERIALADDER_CONFIG = file;
   await listenEarly();
   delete process.env.WISTERIALADDER_CONFIG;
@@ -59,13 +67,9 @@
 // SIGHUP in the first 0.3 s ended the process and the connections that waited.
 test('signals that come before the program is loaded do not end the process', async t => {
   const port = await freePort([HOST]);
-  const dir = mkdtempSync(join(tmpdir(), 'wl-early-'));
-  t.after(() => rmSync(dir, {recursive: true, force: true}));
-  const file = join(dir, 'gateway.ini');
-  writeFileSync(file, `[caller]\nlisten = ${HOST}:${port}\n`);
-  const script = new URL('../../deploy/listen_early.mjs', import.meta.url);
+  const file = settingsFile(t, `[caller]\nlisten = ${HOST}:${port}\n`);
   const program = `
-    const {listenEarly} = await import('${script}');
+    const {listenEarly} = await import('${SCRIPT}');
     await listenEarly();
     setTimeout(() => {
       const stop = Symbol.for('wisterialadder.early_stop') in globalThis;
@@ -100,14 +104,10 @@
 // Connections took all descriptors before the bundle was read from its file.
 test('connections that come before the program is loaded leave it descriptors', async t => {
   const port = await freePort([HOST]);
-  const dir = mkdtempSync(join(tmpdir(), 'wl-early-'));
-  t.after(() => rmSync(dir, {recursive: true, force: true}));
-  const file = join(dir, 'gateway.ini');
-  writeFileSync(file, `[caller]\nlisten = ${HOST}:${port}\n`);
-  const script = new URL('../../deploy/listen_early.mjs', import.meta.url);
+  const file = settingsFile(t, `[caller]\nlisten = ${HOST}:${port}\n`);
   const program = `
     const {readFileSync} = await import('node:fs');
-    const {listenEarly} = await import('${script}');
+    const {listenEarly} = await import('${SCRIPT}');
     await listenEarly();
     process.stdin.once('data', () => {
       const {length} = readFileSync('${file}');
--- a/scripts/serial_tests/fixture.mjs
+++ b/scripts/serial_tests/fixture.mjs
@@ -10,6 +10,8 @@
 export const MB = 1_048_576;
 /** As in deploy/system.toml. */
 const FLAGS = ['--max-old-space-size=128', '--max-semi-space-size=2'];
+/** Half of the deployment's heap, so that fewer clients show a fault. */
+export const HALF_HEAP = ['--max-old-space-size=64', '--max-semi-space-size=2'];
 /** The smallest VM of the users has 202 MB. */
 const VM_MB = 202;
 /** What a VM runs; the process itself needs less memory as a bundle. */
--- a/scripts/serial_tests/header_clients.test.mjs
+++ b/scripts/serial_tests/header_clients.test.mjs
@@ -6,14 +6,19 @@
   stopInShortLines,
   stopInTrailers,
 } from '../fleet/crowd.mjs';
-import {assertRefuses, buildBundle, crowdOf, playCrowd} from './fixture.mjs';
+import {
+  assertRefuses,
+  buildBundle,
+  crowdOf,
+  HALF_HEAP,
+  playCrowd,
+} from './fixture.mjs';
 
 const CLIENTS = 650;
 const HEAD_BYTES = 16_000;
-/** Half of the deployment's heap, so that fewer clients show the fault. */
 const LIMITS = {
   callers: 700,
-  flags: ['--max-old-space-size=64', '--max-semi-space-size=2'],
+  flags: HALF_HEAP,
 };
 
 before(buildBundle);
--- a/scripts/serial_tests/pipelining_clients.test.mjs
+++ b/scripts/serial_tests/pipelining_clients.test.mjs
@@ -15,16 +15,16 @@
   assertServes,
   buildBundle,
   crowdOf,
+  HALF_HEAP,
   enlargeAnswers,
   playCrowd,
 } from './fixture.mjs';
 
 const KB = 1_024;
 const CLIENTS = 300;
-/** Half of the deployment's heap, so that fewer clients show the fault. */
 const LIMITS = {
   callers: 320,
-  flags: ['--max-old-space-size=64', '--max-semi-space-size=2'],
+  flags: HALF_HEAP,
   endpointConnections: 100,
 };
 /** 60 KB, which arrive in a read or two. */
@@ -32,7 +32,7 @@
 /** With answers of 500 KB, 10 MB a client. */
 const READS = 20;
 const LARGE_ANSWERS = enlargeAnswers(500 * KB);
-/** More than the budget of 34 MB. */
+/** Of all clients together ten times the budget of 31 MB. */
 const BEHIND_BYTES = 1_000 * KB;
 /** A page of the metrics has some 50 KB. */
 const PAGES = 800;
