Log the connection and the answer that a failed attempt rests on

Cause: WL8303 said that an endpoint refused an attempt, but not which connection the refusal came on, whether that connection had carried other requests, and whether the answer named the request.

Change: attempt_failed carries the number of the connection, the requests that it carried before and the identity of the answer; WL8303 writes them, and wl_failed_attempts_total counts by the use of the connection.

--- a/packages/core/src/endpoint_health/endpoint_health.test.ts
+++ b/packages/core/src/endpoint_health/endpoint_health.test.ts
@@ -11,6 +11,7 @@
 import {heartbeat} from '../mocks/peer_parts.js';
 import type {GatewayEvent} from '../gateway/events/gateway_event.js';
 import type {PeerMessage} from '../fleet/messages/peer_message.js';
+import {NO_EVIDENCE} from '../types/attempt_evidence.js';
 
 const TWO_ENGINES = [endpointEntry({id: 'e1'}), endpointEntry({id: 'e2'})];
 
@@ -61,7 +62,8 @@
 function brokenAttempt(reqId: string): GatewayEvent {
   const kind = 'attempt_failed';
   const failure = 'broken';
-  return {kind, reqId, attempt: 1, failure, detail: '', atFault: ''};
+  const empty = {detail: '', atFault: '', evidence: NO_EVIDENCE};
+  return {kind, reqId, attempt: 1, failure, ...empty};
 }
 
 test('a retried request is not used as a trial of another endpoint', () => {
--- a/packages/core/src/endpoint_health/reborn_endpoint.test.ts
+++ b/packages/core/src/endpoint_health/reborn_endpoint.test.ts
@@ -7,6 +7,7 @@
   started,
 } from '../mocks/gateway_harness.js';
 import {endpointEntry} from '../mocks/gateway_parts.js';
+import {NO_EVIDENCE} from '../types/attempt_evidence.js';
 
 const REQUESTS = ['r1', 'r2', 'r3', 'r4', 'r5'];
 
@@ -16,7 +17,9 @@
     assert.ok(started(gateway.step(requestArrived({reqId}))));
   }
   for (const reqId of REQUESTS) {
-    const failed = {failure: 'disconnected', detail: '', atFault: ''} as const;
+    const failure = 'disconnected';
+    const empty = {detail: '', atFault: '', evidence: NO_EVIDENCE};
+    const failed = {failure, ...empty} as const;
     gateway.step({kind: 'attempt_failed', reqId, attempt: 1, ...failed});
   }
   const reborn = endpointEntry({id: 'e1', startedAtMs: 9_000});
--- a/packages/core/src/forwarding/attempt_answers.ts
+++ b/packages/core/src/forwarding/attempt_answers.ts
@@ -185,7 +185,8 @@
       req.failedEndpoints.add(failedId);
       failures.endpointUnreachable(ctx, failedId, 'named by another endpoint');
     }
-    failures.attemptFailed(ctx, req, current, event.failure, event.detail);
+    const {failure, detail, evidence} = event;
+    failures.attemptFailed(ctx, req, current, failure, detail, evidence);
   }
 
   return {
--- a/packages/core/src/forwarding/attempt_failures.ts
+++ b/packages/core/src/forwarding/attempt_failures.ts
@@ -5,6 +5,7 @@
 import type {Quarantine} from '../quarantine/quarantine.js';
 import type {EndpointSelection} from '../spread/endpoint_selection.js';
 import type {MemoryReservations} from '../tickets/memory_reservations.js';
+import type {AttemptEvidence} from '../types/attempt_evidence.js';
 import type {AttemptFailure} from '../types/attempt_failure.js';
 import type {CurrentAttempt} from './current_attempt.js';
 import type {Dispatcher} from './dispatcher.js';
@@ -24,13 +25,17 @@
 
 /** Handles failed attempts: retries their requests or fails them. */
 export interface AttemptFailures {
-  /** Retries the request on another endpoint, or fails it. */
+  /**
+   * Retries the request on another endpoint, or fails it.
+   * @param evidence undefined if this gateway itself ended the attempt
+   */
   attemptFailed(
     ctx: GatewayContext,
     req: ForwardedRequest,
     current: CurrentAttempt,
     failure: AttemptFailure,
     detail: string,
+    evidence?: AttemptEvidence,
   ): void;
   /** Sets an endpoint aside that cannot be reached, and tells peers. */
   endpointUnreachable(
@@ -77,6 +82,7 @@
     current: CurrentAttempt,
     failure: AttemptFailure,
     detail: string,
+    evidence?: AttemptEvidence,
   ): void {
     const {main} = current.choice;
     req.history.failed(failure);
@@ -89,7 +95,7 @@
     } else if (failure !== 'said_not_run' && failure !== 'rejected') {
       health.recordFailure(ctx, main.id, failure);
     }
-    reportFailedAttempt(ctx, req, current, failure, detail);
+    reportFailedAttempt(ctx, req, current, failure, detail, evidence);
     const isSuspect = recordEvidence(ctx, req, current, failure);
     if (failure === 'rejected') return end.fail(ctx, req, 'bad_request');
     if (tryTakeRetry(ctx, req, failure)) return dispatcher.dispatch(ctx, req);
--- a/packages/core/src/gateway/events/attempt_failed.ts
+++ b/packages/core/src/gateway/events/attempt_failed.ts
@@ -1,3 +1,4 @@
+import type {AttemptEvidence} from '../../types/attempt_evidence.js';
 import type {AttemptFailure} from '../../types/attempt_failure.js';
 
 /** An attempt ended without a complete answer. */
@@ -10,4 +11,5 @@
   atFault: string;
   /** For the log. */
   detail: string;
+  evidence: AttemptEvidence;
 }
--- a/packages/core/src/mocks/engine_answers.ts
+++ b/packages/core/src/mocks/engine_answers.ts
@@ -4,6 +4,7 @@
 import type {AttemptFailure} from '../types/attempt_failure.js';
 import type {RunningAttempt} from './running_attempt.js';
 import type {VirtualTimeline} from './virtual_timeline.js';
+import {NO_EVIDENCE} from '../types/attempt_evidence.js';
 
 const NETWORK_MS = 3;
 const PIECE_MS = 60;
@@ -31,7 +32,8 @@
     running.open = false;
     const {reqId, attempt} = running.action;
     const event = {reqId, attempt, failure, detail: '', atFault: ''};
-    send(running, {kind: 'attempt_failed', ...event});
+    const evidence = NO_EVIDENCE;
+    send(running, {kind: 'attempt_failed', ...event, evidence});
   }
 
   function sendHead(running: RunningAttempt, limit: NamedLimit): void {
--- a/packages/core/src/mocks/gateway_harness.ts
+++ b/packages/core/src/mocks/gateway_harness.ts
@@ -11,6 +11,7 @@
 import type {AttemptFailure} from '../types/attempt_failure.js';
 import {configuration, endpointEntry, gatewayConfig} from './gateway_parts.js';
 import {createStepHarness, type StepHarness} from './step_harness.js';
+import {NO_EVIDENCE} from '../types/attempt_evidence.js';
 
 /** A gateway node under test on a virtual clock. */
 export type GatewayHarness = StepHarness<GatewayEvent, GatewayAction>;
@@ -146,7 +147,8 @@
 ): GatewayEvent {
   const detail = '';
   const kind = 'attempt_failed';
-  return {kind, reqId: 'r1', attempt, failure, detail, atFault: ''};
+  const evidence = NO_EVIDENCE;
+  return {kind, reqId: 'r1', attempt, failure, detail, atFault: '', evidence};
 }
 
 /** The first attempt that the actions start. */
--- a/packages/core/src/mocks/load/load_endpoint.ts
+++ b/packages/core/src/mocks/load/load_endpoint.ts
@@ -1,5 +1,6 @@
 import type {EndpointEntry} from '../../registry/endpoint_entry.js';
 import type {LoadJob} from './load_job.js';
+import {NO_EVIDENCE} from '../../types/attempt_evidence.js';
 
 /** One endpoint of the load test. */
 export abstract class LoadEndpoint {
@@ -24,6 +25,6 @@
   if (!job.open) return;
   job.open = false;
   const {reqId, attempt} = job.action;
-  const detail = {failure, detail: '', atFault: ''};
+  const detail = {failure, detail: '', atFault: '', evidence: NO_EVIDENCE};
   job.reply({kind: 'attempt_failed', reqId, attempt, ...detail});
 }
--- a/packages/core/src/mocks/model_endpoints.ts
+++ b/packages/core/src/mocks/model_endpoints.ts
@@ -6,6 +6,7 @@
 import type {GatewayEvent} from '../gateway/events/gateway_event.js';
 import type {MemoryAnswer} from '../tickets/memory_answer.js';
 import type {RandomSource} from '../types/random_source.js';
+import {NO_EVIDENCE} from '../types/attempt_evidence.js';
 
 /** Number of pieces of a complete stream. */
 const MAX_PIECES = 12;
@@ -41,6 +42,7 @@
       failure,
       detail: '',
       atFault,
+      evidence: NO_EVIDENCE,
     } as const;
     pending.push({atMs, event});
   }
--- a/packages/core/src/quarantine/unanswered_prompts.test.ts
+++ b/packages/core/src/quarantine/unanswered_prompts.test.ts
@@ -14,6 +14,7 @@
 import {endpointEntry} from '../mocks/gateway_parts.js';
 import {heartbeat, peerReceived} from '../mocks/peer_parts.js';
 import {NO_HINTS} from '../endpoint_hints/endpoint_hints.js';
+import {NO_EVIDENCE} from '../types/attempt_evidence.js';
 
 const HEAD = {kind: 'stream_started', reqId: 'r1', attempt: 1} as const;
 
@@ -107,5 +108,6 @@
   gateway.step(requestArrived({reqId, sharedParts: ['a1'], resumeAfter: 9}));
   const event = {kind: 'attempt_failed', reqId, attempt: 1} as const;
   const failed = {...event, failure: 'disconnected', detail: ''} as const;
-  assert.deepEqual(told(gateway.step({...failed, atFault: ''}, 50)), [false]);
+  const unknown = {atFault: '', evidence: NO_EVIDENCE};
+  assert.deepEqual(told(gateway.step({...failed, ...unknown}, 50)), [false]);
 });
--- a/packages/core/src/shared/gateway_log_events.ts
+++ b/packages/core/src/shared/gateway_log_events.ts
@@ -104,7 +104,8 @@
   WL8303: {
     level: 'warn',
     text: 'attempt of a request failed',
-    action: 'Check the endpoint if it repeats.',
+    action:
+      'Check the endpoint if it repeats; connection and answer say what the failure rests on.',
   },
   WL8304: {
     level: 'info',
--- a/packages/core/src/shared/metrics.ts
+++ b/packages/core/src/shared/metrics.ts
@@ -122,8 +122,8 @@
   },
   failed_attempts_total: {
     type: 'counter',
-    help: 'Attempts without a whole answer, by service, failure and what of an answer had arrived.',
-    labels: ['service', 'failure', 'answered'],
+    help: 'Attempts without a whole answer, by service, failure, what of an answer had arrived, and use of the connection.',
+    labels: ['service', 'failure', 'answered', 'connection'],
   },
   forwarded_total: {
     type: 'counter',
--- a/packages/gateway/src/endpoints/attempt_handler.ts
+++ b/packages/gateway/src/endpoints/attempt_handler.ts
@@ -1,6 +1,7 @@
 import type {Dispatcher} from 'undici';
 import {hasHints} from '@wisterialadder/core/endpoint_hints/endpoint_hints.js';
 import type {StartAttempt} from '@wisterialadder/core/gateway/actions/start_attempt.js';
+import type {AttemptEvidence} from '@wisterialadder/core/types/attempt_evidence.js';
 import type {AttemptFailure} from '@wisterialadder/core/types/attempt_failure.js';
 import type {ReceivedAnswer} from '../callers/open_request.js';
 import type {MemoryBudget} from '@wisterialadder/runtime/memory/memory_budget.js';
@@ -70,7 +71,7 @@
     finish();
     held.drop();
     lease.discard();
-    sink.failed(reason, detail, answer?.atFault ?? '');
+    sink.failed(reason, detail, answer?.atFault ?? '', evidence());
   }
 
   function head(status: number, headers: NodeJS.Dict<string | string[]>): void {
@@ -84,7 +85,7 @@
     const {verdict, echoed} = answer;
     // On a reused connection, an answer without the id may belong to an
     // earlier request.
-    if (!echoed && (verdict === 'answer' || lease.reused))
+    if (!echoed && (verdict === 'answer' || lease.earlierRequests > 0))
       return fail('broken', 'answer of another request');
     // The answer of another instance says nothing about the endpoint.
     if (verdict !== 'wrong_instance' && hasHints(answer.hints)) {
@@ -102,7 +103,7 @@
     finish();
     release();
     discard.begin();
-    sink.failed(verdict, '', atFault);
+    sink.failed(verdict, '', atFault, evidence());
   }
 
   function data(bytes: Buffer): void {
@@ -126,6 +127,15 @@
     }
   }
 
+  function evidence(): AttemptEvidence {
+    const identity = answer?.echoed ? 'named' : 'unnamed';
+    return {
+      connection: lease.connection.id,
+      earlierRequests: lease.earlierRequests,
+      answer: answer ? identity : 'none',
+    };
+  }
+
   function failOn(fault: string | undefined): void {
     if (fault !== undefined) fail('broken', fault);
   }
--- a/packages/gateway/src/endpoints/attempt_runner.test.ts
+++ b/packages/gateway/src/endpoints/attempt_runner.test.ts
@@ -261,6 +261,27 @@
   assert.deepEqual(outcomes(harness), ['said_not_run', 'broken']);
 });
 
+test('the failure of an attempt says which connection and answer it rests on', async t => {
+  const harness = await fixture(t, (socket, request) => {
+    const id = /req-id: (\w+)/.exec(request)?.[1] ?? '';
+    if (id === 'r1') socket.write(notFound(id));
+    else if (id === 'r2') socket.write(notFound('r1'));
+    else socket.destroy();
+  });
+  for (const id of ['r1', 'r2', 'r3']) {
+    harness.request(id);
+    start(harness, id);
+    await harness.nextEnd();
+  }
+  const evidence = harness.events.flatMap(event =>
+    event.kind === 'attempt_failed' ? [event.evidence] : [],
+  );
+  assert.deepEqual(evidence, [
+    {connection: 1, earlierRequests: 1, answer: 'unnamed'},
+    {connection: 2, earlierRequests: 0, answer: 'none'},
+  ]);
+});
+
 for (const cut of [9, 17, 20, 40, 54, 56]) {
   test(`an answer that ends after ${cut} bytes of its head is not delivered`, async t => {
     const answer = `HTTP/1.1 200 OK\r\nreq-id: r1\r\ncontent-type: text/plain\r\n\r\nbody`;
--- a/packages/gateway/src/endpoints/attempt_runner.ts
+++ b/packages/gateway/src/endpoints/attempt_runner.ts
@@ -2,6 +2,7 @@
 import type {CancelAttempt} from '@wisterialadder/core/gateway/actions/cancel_attempt.js';
 import type {StartAttempt} from '@wisterialadder/core/gateway/actions/start_attempt.js';
 import type {GatewayEvent} from '@wisterialadder/core/gateway/events/gateway_event.js';
+import {NO_EVIDENCE} from '@wisterialadder/core/types/attempt_evidence.js';
 import type {AttemptFailure} from '@wisterialadder/core/types/attempt_failure.js';
 import type {Disposable} from '@wisterialadder/runtime/lifecycle/disposable.js';
 import type {MemoryBudget} from '@wisterialadder/runtime/memory/memory_budget.js';
@@ -107,7 +108,7 @@
     failure: AttemptFailure,
     detail: string,
   ): void {
-    sinkFor(action).failed(failure, detail, '');
+    sinkFor(action).failed(failure, detail, '', NO_EVIDENCE);
   }
 
   function sinkFor({reqId, attempt}: StartAttempt): AttemptSink {
@@ -121,7 +122,7 @@
         push({kind: 'stream_ended', reqId, attempt, delimited}),
       answered: status =>
         push({kind: 'answer_received', reqId, attempt, status}),
-      failed: (failure, detail, atFault) =>
+      failed: (failure, detail, atFault, evidence) =>
         push({
           kind: 'attempt_failed',
           reqId,
@@ -129,6 +130,7 @@
           failure,
           detail,
           atFault,
+          evidence,
         }),
     };
   }
--- a/packages/gateway/src/endpoints/attempt_sink.ts
+++ b/packages/gateway/src/endpoints/attempt_sink.ts
@@ -1,4 +1,5 @@
 import type {EndpointHints} from '@wisterialadder/core/endpoint_hints/endpoint_hints.js';
+import type {AttemptEvidence} from '@wisterialadder/core/types/attempt_evidence.js';
 import type {AttemptFailure} from '@wisterialadder/core/types/attempt_failure.js';
 
 /** Receives the progress and the result of an attempt. */
@@ -11,5 +12,10 @@
   streamEnded(delimited: boolean): void;
   /** An answer that is not a stream has arrived completely. */
   answered(status: number): void;
-  failed(failure: AttemptFailure, detail: string, atFault: string): void;
+  failed(
+    failure: AttemptFailure,
+    detail: string,
+    atFault: string,
+    evidence: AttemptEvidence,
+  ): void;
 }
--- a/packages/gateway/src/endpoints/connection_pool.ts
+++ b/packages/gateway/src/endpoints/connection_pool.ts
@@ -16,8 +16,8 @@
 /** Exclusive use of a connection for one request. */
 export interface ConnectionLease {
   connection: EndpointConnection;
-  /** Whether it has carried a request before. */
-  reused: boolean;
+  /** Requests that the connection carried before. */
+  earlierRequests: number;
   /** Returns the connection to the pool after a complete answer. */
   release(keepAliveMs: number | undefined): void;
   /** Closes the connection; nothing more may be read from it. */
@@ -53,6 +53,7 @@
 /** Creates a pool without connections. */
 export function createConnectionPool(): ConnectionPool {
   const endpoints = new Map<string, EndpointPool>();
+  let lastConnectionId = 0;
   const sweeper = setInterval(sweep, SWEEP_INTERVAL_MS);
   sweeper.unref();
 
@@ -73,20 +74,22 @@
   ): ConnectionLease | undefined {
     const connections = connectionsOf(endpoint);
     const idle = requireNew ? undefined : takeIdle(connections, address);
-    if (idle) return leaseOf(connections, idle, true);
+    if (idle) return leaseOf(connections, idle);
     if (connections.open >= maxConnections) {
       const oldestIdle = connections.idle.shift();
       if (!oldestIdle) return undefined;
       oldestIdle.connection.destroy();
     }
-    return leaseOf(connections, open(connections, address), false);
+    return leaseOf(connections, open(connections, address));
   }
 
   function open(
     connections: EndpointPool,
     address: string,
   ): EndpointConnection {
-    const connection = createEndpointConnection(address, () => {
+    lastConnectionId += 1;
+    const id = lastConnectionId;
+    const connection = createEndpointConnection(id, address, () => {
       connections.open -= 1;
       connections.idle = connections.idle.filter(
         idle => idle.connection !== connection,
@@ -120,11 +123,10 @@
   function leaseOf(
     connections: EndpointPool,
     connection: EndpointConnection,
-    reused: boolean,
   ): ConnectionLease {
     return {
       connection,
-      reused,
+      earlierRequests: connection.requestCount(),
       release: keepAliveMs => {
         const idleLimitMs =
           keepAliveMs === undefined
