Never give a connection to a request whose id it has carried

The same fault answers a later call with the answer of an earlier one that has its id.

Cause: answers name the caller's id, which is the same for all attempts of a request. The gateway sent the third attempt on the connection on which the first had been refused; the engine wrote that refusal once more and ran the attempt. The copy named the request, so it passed as the answer and as proof that the attempt had not run.

Change: a connection remembers the ids of its requests, and the pool lends it only to requests whose id it has not carried. Why it works: a copy can only follow the answer that it copies, on the same connection, and on each connection an id now names one attempt. It holds for all kinds of requests and of answers.

New connections for every attempt would close the hole as well, at the price of one connection for each request.

--- a/packages/gateway/src/endpoints/attempt_handler.ts
+++ b/packages/gateway/src/endpoints/attempt_handler.ts
@@ -130,7 +130,7 @@
   function evidence(): AttemptEvidence {
     const identity = answer?.echoed ? 'named' : 'unnamed';
     return {
-      connection: lease.connection.id,
+      connection: lease.connectionId,
       earlierRequests: lease.earlierRequests,
       answer: answer ? identity : 'none',
     };
--- a/packages/gateway/src/endpoints/attempt_runner.ts
+++ b/packages/gateway/src/endpoints/attempt_runner.ts
@@ -48,20 +48,25 @@
     if (performance.now() >= action.notAfterMs) {
       return reportFailure(action, 'connect_failed', 'too late to send');
     }
-    const lease = acquire(action);
+    const lease = acquire(action, open.callerId);
     if (lease) send(action, open, lease);
   }
 
   /** Reports the failure of the attempt if there is no connection for it. */
-  function acquire(action: StartAttempt): ConnectionLease | undefined {
-    const {endpoint, address, maxConnections, newConnection} = action;
+  function acquire(
+    action: StartAttempt,
+    callerId: string,
+  ): ConnectionLease | undefined {
+    const {endpoint, address, maxConnections} = action;
+    const requireNew = action.newConnection;
     try {
-      const lease = pool.acquire(
+      const lease = pool.acquire({
         endpoint,
         address,
         maxConnections,
-        newConnection,
-      );
+        requireNew,
+        callerId,
+      });
       if (!lease) reportFailure(action, 'said_not_run', 'no connection left');
       return lease;
     } catch (err) {
--- a/packages/gateway/src/endpoints/connection_pool.ts
+++ b/packages/gateway/src/endpoints/connection_pool.ts
@@ -1,5 +1,7 @@
 import {performance} from 'node:perf_hooks';
 import type {Disposable} from '@wisterialadder/runtime/lifecycle/disposable.js';
+import {createCarriedIds, type CarriedIds} from './carried_ids.js';
+import type {ConnectionRequest} from './connection_request.js';
 import {
   createEndpointConnection,
   type EndpointConnection,
@@ -16,6 +18,8 @@
 /** Exclusive use of a connection for one request. */
 export interface ConnectionLease {
   connection: EndpointConnection;
+  /** Number of the connection in this process, for logs. */
+  connectionId: number;
   /** Requests that the connection carried before. */
   earlierRequests: number;
   /** Returns the connection to the pool after a complete answer. */
@@ -27,27 +31,26 @@
 /** Reuses connections to endpoints and limits their number. */
 export interface ConnectionPool extends Disposable {
   /**
-   * Takes an idle connection, unless `requireNew`, or opens another one.
+   * Takes an idle connection on which an answer can be told from those to
+   * earlier requests, or opens another one.
    * @returns undefined if the endpoint's connections are all in use
    */
-  acquire(
-    endpoint: string,
-    address: string,
-    maxConnections: number,
-    requireNew: boolean,
-  ): ConnectionLease | undefined;
+  acquire(wanted: ConnectionRequest): ConnectionLease | undefined;
   /** Closes idle connections to endpoints that are not listed. */
   closeIdleExcept(endpoints: string[]): void;
 }
 
-interface IdleConnection {
+interface PooledConnection {
+  id: number;
   connection: EndpointConnection;
+  carried: CarriedIds;
+  /** When it is closed if it is still idle. */
   expiresMs: number;
 }
 
 interface EndpointPool {
   open: number;
-  idle: IdleConnection[];
+  idle: PooledConnection[];
 }
 
 /** Creates a pool without connections. */
@@ -66,75 +69,74 @@
     return connections;
   }
 
-  function acquire(
-    endpoint: string,
-    address: string,
-    maxConnections: number,
-    requireNew: boolean,
-  ): ConnectionLease | undefined {
-    const connections = connectionsOf(endpoint);
-    const idle = requireNew ? undefined : takeIdle(connections, address);
-    if (idle) return leaseOf(connections, idle);
-    if (connections.open >= maxConnections) {
+  function acquire(wanted: ConnectionRequest): ConnectionLease | undefined {
+    const connections = connectionsOf(wanted.endpoint);
+    const idle = wanted.requireNew ? undefined : takeIdle(connections, wanted);
+    if (idle) return leaseOf(connections, idle, wanted.callerId);
+    if (connections.open >= wanted.maxConnections) {
       const oldestIdle = connections.idle.shift();
       if (!oldestIdle) return undefined;
       oldestIdle.connection.destroy();
     }
-    return leaseOf(connections, open(connections, address));
+    const opened = open(connections, wanted.address);
+    return leaseOf(connections, opened, wanted.callerId);
   }
 
-  function open(
-    connections: EndpointPool,
-    address: string,
-  ): EndpointConnection {
-    lastConnectionId += 1;
-    const id = lastConnectionId;
-    const connection = createEndpointConnection(id, address, () => {
+  function open(connections: EndpointPool, address: string): PooledConnection {
+    const connection = createEndpointConnection(address, () => {
       connections.open -= 1;
       connections.idle = connections.idle.filter(
         idle => idle.connection !== connection,
       );
     });
     connections.open += 1;
-    return connection;
+    lastConnectionId += 1;
+    const carried = createCarriedIds();
+    return {id: lastConnectionId, connection, carried, expiresMs: 0};
   }
 
   function takeIdle(
     connections: EndpointPool,
-    address: string,
-  ): EndpointConnection | undefined {
+    {address, callerId}: ConnectionRequest,
+  ): PooledConnection | undefined {
     const nowMs = performance.now();
-    const uploading: IdleConnection[] = [];
-    let found: EndpointConnection | undefined;
+    const unsuited: PooledConnection[] = [];
+    let found: PooledConnection | undefined;
     while (!found) {
       const idle = connections.idle.pop();
       if (!idle) break;
-      const {connection, expiresMs} = idle;
+      const {connection, carried, expiresMs} = idle;
       const eligible = expiresMs > nowMs && connection.address === address;
       if (!eligible || !connection.isUsable()) connection.destroy();
-      else if (connection.isUploading()) uploading.push(idle);
-      else found = connection;
+      // An endpoint may answer first and read the rest of the upload later.
+      else if (connection.isUploading() || carried.mayHold(callerId))
+        unsuited.push(idle);
+      else found = idle;
     }
-    // An endpoint may answer first and read the rest of the upload later.
-    connections.idle.push(...uploading.reverse());
+    connections.idle.push(...unsuited.reverse());
     return found;
   }
 
   function leaseOf(
     connections: EndpointPool,
-    connection: EndpointConnection,
+    pooled: PooledConnection,
+    callerId: string,
   ): ConnectionLease {
+    const {id, connection, carried} = pooled;
+    const earlierRequests = carried.count();
+    carried.add(callerId);
     return {
       connection,
-      earlierRequests: connection.requestCount(),
+      connectionId: id,
+      earlierRequests,
       release: keepAliveMs => {
         const idleLimitMs =
           keepAliveMs === undefined
             ? DEFAULT_KEEP_ALIVE_MS
             : Math.min(MAX_KEEP_ALIVE_MS, keepAliveMs - KEEP_ALIVE_MARGIN_MS);
-        if (idleLimitMs <= 0) return connection.destroy();
-        const expiresMs = performance.now() + idleLimitMs;
-        connections.idle.push({connection, expiresMs});
+        if (idleLimitMs <= 0 || carried.isFull()) return connection.destroy();
+        pooled.expiresMs = performance.now() + idleLimitMs;
+        connections.idle.push(pooled);
       },
       discard: () => connection.destroy(),
     };
--- a/packages/gateway/src/endpoints/endpoint_connection.ts
+++ b/packages/gateway/src/endpoints/endpoint_connection.ts
@@ -12,16 +12,12 @@
 
 /** A connection to an endpoint that carries one request at a time. */
 export interface EndpointConnection {
-  /** Number of the connection in this process, for logs. */
-  readonly id: number;
   readonly address: string;
   /** Sends a request and passes the answer or the error to the handler. */
   dispatch(
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
   ): void;
-  /** Requests that were sent so far. */
-  requestCount(): number;
   /** Whether the connection can carry another request. */
   isUsable(): boolean;
   /** Whether a part of the last request is not sent yet. */
@@ -43,13 +39,11 @@
  * @param onClosed called once when it can carry no further request
  */
 export function createEndpointConnection(
-  id: number,
   address: string,
   onClosed: () => void,
 ): EndpointConnection {
   let socket: Socket | undefined;
   let isClosed = false;
-  let requestCount = 0;
   let endpointClosed: Promise<boolean> = Promise.resolve(false);
   const client = new Client(`http://${address}`, {
     pipelining: 1,
@@ -86,13 +80,10 @@
   }
 
   return {
-    id,
     address,
     dispatch: (options, handler) => {
-      requestCount += 1;
       client.dispatch(options, handler);
     },
-    requestCount: () => requestCount,
     isUsable: () => !isClosed && socket?.destroyed === false,
     closedByEndpoint: () => endpointClosed,
     isUploading: () => (socket?.writableLength ?? 0) > 0,
