Take a refusal as proof only if it names its request

On a new connection, a refusal that names another request counted as proof that the attempt had not run, so a call that may run once would be sent again or refused as not run while its engine runs it.

Cause: the handler compared the name only for answers and for connections that had carried a request. It could not tell a name that is missing from one that is wrong. A 2xx with Not-Executed counted as a refusal as well.

Change: the codec says whether an answer names its request, another one or none, and marks answers that engines do not send. Engines name what they refuse, except for a request that they cannot read (400), which counts on a new connection only, where nothing else can be meant.

--- a/packages/gateway/src/endpoints/answer_verdict.ts
+++ b/packages/gateway/src/endpoints/answer_verdict.ts
@@ -1,2 +1,6 @@
-/** Result of an attempt according to the head of its answer. */
-export type AnswerVerdict = 'answer' | 'said_not_run' | 'wrong_instance';
+/**
+ * Result of an attempt according to the head of its answer. `invalid`: the
+ * endpoint would not have sent such an answer to the request.
+ */
+export type AnswerVerdict =
+  'answer' | 'said_not_run' | 'wrong_instance' | 'invalid';
--- a/packages/gateway/src/endpoints/attempt_handler.ts
+++ b/packages/gateway/src/endpoints/attempt_handler.ts
@@ -11,6 +11,7 @@
 import {interimFault, isDelimited, isFinalStatus} from './answer_framing.js';
 import {attemptFailureOf} from './attempt_error.js';
 import type {AttemptSink} from './attempt_sink.js';
+import {isOwnAnswer} from './own_answer.js';
 import type {ConnectionLease} from './connection_pool.js';
 import type {EndpointCodec} from './endpoint_codec.js';
 import {createPieceFramer} from './piece_framer.js';
@@ -82,10 +83,9 @@
     }
     delimited = isDelimited(parts.method, status, headers);
     answer = codec.read(status, headers, parts.callerId);
-    const {verdict, echoed} = answer;
-    // On a reused connection, an answer without the id may belong to an
-    // earlier request.
-    if (!echoed && (verdict === 'answer' || lease.earlierRequests > 0))
+    const {verdict} = answer;
+    if (verdict === 'invalid') return fail('broken', 'not an answer');
+    if (!isOwnAnswer(answer, lease.earlierRequests))
       return fail('broken', 'answer of another request');
     // The answer of another instance says nothing about the endpoint.
     if (verdict !== 'wrong_instance' && hasHints(answer.hints)) {
@@ -128,11 +128,10 @@
   }
 
   function evidence(): AttemptEvidence {
-    const identity = answer?.echoed ? 'named' : 'unnamed';
     return {
       connection: lease.connectionId,
       earlierRequests: lease.earlierRequests,
-      answer: answer ? identity : 'none',
+      answer: answer?.identity ?? 'none',
     };
   }
 
--- a/packages/gateway/src/endpoints/attempt_runner.test.ts
+++ b/packages/gateway/src/endpoints/attempt_runner.test.ts
@@ -277,7 +277,7 @@
     event.kind === 'attempt_failed' ? [event.evidence] : [],
   );
   assert.deepEqual(evidence, [
-    {connection: 1, earlierRequests: 1, answer: 'unnamed'},
+    {connection: 1, earlierRequests: 1, answer: 'other'},
     {connection: 2, earlierRequests: 0, answer: 'none'},
   ]);
 });
--- a/packages/gateway/src/endpoints/stale_answers.test.ts
+++ b/packages/gateway/src/endpoints/stale_answers.test.ts
@@ -79,3 +79,36 @@
     assert.equal(await play(harness, 'r1', 2), 'new');
   });
 }
+
+for (const [what, id, expected] of [
+  ['names another request', 'r0', 'broken'],
+  ['names no request', '', 'said_not_run'],
+] as const) {
+  test(`a refusal on a new connection that ${what}`, async t => {
+    const harness = await fixture(t, socket => socket.write(refusal(id)));
+    harness.request('r1');
+    assert.equal(await play(harness, 'r1', 1), expected);
+  });
+}
+
+test('a refusal without a name on a used connection refuses nothing', async t => {
+  const harness = await fixture(t, (socket, id, number) =>
+    socket.write(number === 1 ? answer(200, id) : refusal('')),
+  );
+  for (const id of ['r1', 'r2']) harness.request(id);
+  await play(harness, 'r1', 1);
+  assert.equal(await play(harness, 'r2', 1), 'broken');
+  assert.equal(harness.endpoint.connections(), 1);
+});
+
+for (const id of ['', 'x'.repeat(65)]) {
+  test(`a request with an id of ${id.length} characters gets a new connection`, async t => {
+    const harness = await fixture(t, socket => socket.write(answer(200, id)));
+    for (const reqId of ['r1', 'r2']) {
+      harness.request(reqId);
+      harness.open.get(reqId)!.callerId = id;
+      await play(harness, reqId, 1);
+    }
+    assert.equal(harness.endpoint.connections(), 2);
+  });
+}
--- a/packages/gateway/src/mocks/fake_endpoint_codec.ts
+++ b/packages/gateway/src/mocks/fake_endpoint_codec.ts
@@ -18,7 +18,7 @@
   ): ParsedAnswer {
     return {
       verdict: headers['not-run'] ? 'said_not_run' : 'answer',
-      echoed: headers['req-id'] === callerId,
+      identity: identityOf(String(headers['req-id'] ?? ''), callerId),
       head: {
         status,
         headers: [],
@@ -35,6 +35,11 @@
   }
 }
 
+function identityOf(named: string, callerId: string): ParsedAnswer['identity'] {
+  if (named === callerId) return 'named';
+  return named === '' ? 'unnamed' : 'other';
+}
+
 function pauseMs(header: string | string[] | undefined): number | undefined {
   return header === undefined ? undefined : Number(header);
 }
