Decide in one place which requests may run once

A copy of a refusal of another request came on a kept connection before the answer; the stream may run once, so it could not be sent again, and its caller may not repeat it either.

Cause: "may run once" stood in three places with two meanings. New connections were for non_idempotent routes only, though streams that may not be resumed run once as well.

Change: isRepeatable decides for retries, stalls and connections. A stream that may not be resumed gets a new connection for each attempt.

--- a/packages/core/src/forwarding/forwarding.test.ts
+++ b/packages/core/src/forwarding/forwarding.test.ts
@@ -10,7 +10,7 @@
   requestArrived,
   started,
 } from '../mocks/gateway_harness.js';
-import {configuration, streamRoute} from '../mocks/gateway_parts.js';
+import {callRoute, configuration, streamRoute} from '../mocks/gateway_parts.js';
 
 test('a write that may have run is neither retried nor refused as not run', () => {
   const gateway = readyGateway();
@@ -41,6 +41,25 @@
   assert.ok(second.newConnection);
 });
 
+// Guards against an attempt of a request that may run once on a connection that
+// breaks, or that still carries an answer to another request.
+for (const [what, route, isNew] of [
+  ['a write', callRoute(), true],
+  ['a stream that may not be resumed', streamRoute({resumable: false}), true],
+  ['a stream that may be resumed', streamRoute(), false],
+  ['a read', callRoute({kind: 'idempotent'}), false],
+] as const) {
+  test(`${what} ${isNew ? 'always gets' : 'needs no'} new connection`, () => {
+    const known = {configuration: configuration({routes: [route]})};
+    const gateway = readyGateway(known);
+    const arrived = requestArrived({path: `${route.prefix}1`});
+    const first = started(gateway.step(arrived));
+    const second = started(gateway.step(attemptFailed('said_not_run'), 20));
+    assert.equal(first?.newConnection, isNew);
+    assert.equal(second?.newConnection, isNew);
+  });
+}
+
 test('a write that no endpoint has run is refused as not run', () => {
   const gateway = readyGateway();
   gateway.step(callArrived('/write/1'));
--- a/packages/core/src/forwarding/retry_denial.ts
+++ b/packages/core/src/forwarding/retry_denial.ts
@@ -1,3 +1,4 @@
+import {isRepeatable} from '../configuration/is_repeatable.js';
 import type {ForwardedRequest} from './forwarded_request.js';
 
 /** A retry with less time left cannot succeed. */
@@ -15,9 +16,7 @@
   nowMs: number,
 ): RetryDenial | undefined {
   const {route, history} = req;
-  const repeatable =
-    route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable);
-  if (!repeatable && !history.notRunProof()) return 'may_have_run';
+  if (!isRepeatable(route) && !history.notRunProof()) return 'may_have_run';
   if (history.possibleRuns() >= route.maxAttempts) return 'attempts_used';
   if (req.attempts >= MAX_ATTEMPTS) return 'attempts_used';
   if (req.deadlineMs - nowMs < MIN_REMAINING_MS) return 'no_time';
--- a/packages/core/src/forwarding/stall_timeout.ts
+++ b/packages/core/src/forwarding/stall_timeout.ts
@@ -1,3 +1,4 @@
+import {isRepeatable} from '../configuration/is_repeatable.js';
 import type {ForwardedRequest} from './forwarded_request.js';
 
 /** A first piece may take this many times its expected time. */
@@ -20,22 +21,16 @@
  */
 export function stallTimeoutMs(req: ForwardedRequest): number | undefined {
   const {route, current} = req;
-  if (!current) return undefined;
-  switch (route.kind) {
-    case 'non_idempotent':
-      return undefined;
-    case 'idempotent':
-      return (req.deadlineMs - req.arrivedMs) * CALL_TIME_SHARE;
-    case 'stream':
-      if (!route.resumable) return undefined;
-      return Math.max(
-        MIN_STALL_TIMEOUT_MS,
-        current.pieces === 0
-          ? Math.max(
-              current.choice.expectedMs * EXPECTED_FACTOR,
-              route.targetMs * TARGET_FACTOR,
-            )
-          : route.targetGapMs * GAP_FACTOR,
-      );
-  }
+  if (!current || !isRepeatable(route)) return undefined;
+  if (route.kind !== 'stream')
+    return (req.deadlineMs - req.arrivedMs) * CALL_TIME_SHARE;
+  return Math.max(
+    MIN_STALL_TIMEOUT_MS,
+    current.pieces === 0
+      ? Math.max(
+          current.choice.expectedMs * EXPECTED_FACTOR,
+          route.targetMs * TARGET_FACTOR,
+        )
+      : route.targetGapMs * GAP_FACTOR,
+  );
 }
--- a/packages/core/src/forwarding/start_attempt_of.ts
+++ b/packages/core/src/forwarding/start_attempt_of.ts
@@ -1,3 +1,4 @@
+import {isRepeatable} from '../configuration/is_repeatable.js';
 import type {StartAttempt} from '../gateway/actions/start_attempt.js';
 import type {EndpointChoice} from '../spread/endpoint_choice.js';
 import type {ForwardedRequest} from './forwarded_request.js';
@@ -31,8 +32,8 @@
     priority: Math.min(LOWEST_PRIORITY, priority),
     helpers: choice.helpers.map(({address}) => ({address, ticket})),
     resumeAfter: req.lastPiece,
-    // A reused connection may break just then, which would leave unknown
-    // whether the request ran.
-    newConnection: route.kind === 'non_idempotent',
+    // A reused connection may break just then, or carry an answer to an earlier
+    // request, which would leave unknown whether the request ran.
+    newConnection: !isRepeatable(route),
   };
 }
