Let the newest configuration forbid the second run of an open request

A request is open for seconds. If the operator declares its route non_idempotent, or takes streamResumption back, meanwhile, the request still ran a second time.

Cause: whether a request may run again was decided by the route with which it was admitted, until its end.

Change: the route that the newest configuration has for the request must allow the second run as well (mayRunAgain). The reverse does not hold: a request that was admitted to run once stays so. Attempts after the change get new connections.

Evidence: forwarding.test.ts "a call that may no longer be repeated is not sent again" and "a stream that may no longer be resumed is not sent again" failed before and pass now.

--- a/packages/core/src/forwarding/attempt_failures.ts
+++ b/packages/core/src/forwarding/attempt_failures.ts
@@ -1,3 +1,4 @@
+import type {PublishedConfiguration} from '../configuration/published_configuration.js';
 import type {EndpointHealth} from '../endpoint_health/endpoint_health.js';
 import type {FleetGossip} from '../fleet/fleet_gossip.js';
 import type {FleetMembers} from '../fleet/fleet_members.js';
@@ -55,6 +56,7 @@
 
 /** Dependencies of the failure handling. */
 export interface AttemptFailureParts {
+  configuration: Pick<PublishedConfiguration, 'routes'>;
   selection: EndpointSelection;
   health: EndpointHealth;
   members: FleetMembers;
@@ -73,7 +75,8 @@
 export function createAttemptFailures(
   parts: AttemptFailureParts,
 ): AttemptFailures {
-  const {selection, health, members, gossip, retryBudget} = parts;
+  const {configuration, selection, health, members} = parts;
+  const {gossip, retryBudget} = parts;
   const {reservations, quarantine, end, dispatcher} = parts;
 
   function attemptFailed(
@@ -153,7 +156,7 @@
     // An attempt that never reached its endpoint takes nothing from the budget.
     const free = failure === 'connect_failed';
     const denial =
-      retryDenial(req, nowMs) ??
+      retryDenial(req, configuration.routes(), nowMs) ??
       (free || retryBudget.tryTake(nowMs, req.service, members.knownCount())
         ? undefined
         : 'allowance_used');
@@ -180,7 +183,7 @@
     );
     if (silentMs < limitMs + prefillMs) return;
     // Cancelling an attempt that cannot be retried gains nothing.
-    if (retryDenial(req, ctx.nowMs)) return;
+    if (retryDenial(req, configuration.routes(), ctx.nowMs)) return;
     current.lastProgressMs = ctx.nowMs;
     const gateways = members.knownCount();
     if (retryBudget.remaining(ctx.nowMs, req.service, gateways) < 1) return;
--- a/packages/core/src/forwarding/attempt_start.ts
+++ b/packages/core/src/forwarding/attempt_start.ts
@@ -3,11 +3,13 @@
 import type {FleetGossip} from '../fleet/fleet_gossip.js';
 import type {FleetMembers} from '../fleet/fleet_members.js';
 import type {Work} from '../fleet/work.js';
+import type {StartAttempt} from '../gateway/actions/start_attempt.js';
 import type {GatewayContext} from '../gateway/gateway_context.js';
 import type {Quarantine} from '../quarantine/quarantine.js';
 import type {EndpointChoice} from '../spread/endpoint_choice.js';
 import {choiceRequestOf} from './choice_request_of.js';
 import type {ForwardedRequest} from './forwarded_request.js';
+import {mayRunAgain} from './may_run_again.js';
 import {logRoute} from './route_log.js';
 import {startAttemptOf} from './start_attempt_of.js';
 import {createWork} from './create_work.js';
@@ -70,9 +72,8 @@
     };
     health.recordAttempt(choice.main.id, nowMs);
     quarantine.started(ctx, req.suspect, choice.main.id);
-    ctx.emit(
-      startAttemptOf(req, choice, ticket, maxConnections(nowMs, req), nowMs),
-    );
+    const connection = connectionFor(nowMs, req);
+    ctx.emit(startAttemptOf(req, choice, ticket, connection, nowMs));
     logRoute(ctx, req, choice, 'WL8301', configuration.version());
   }
 
@@ -96,9 +97,18 @@
     return work;
   }
 
-  function maxConnections(nowMs: number, req: ForwardedRequest): number {
+  function connectionFor(
+    nowMs: number,
+    req: ForwardedRequest,
+  ): Pick<StartAttempt, 'maxConnections' | 'newConnection'> {
     const limit = configuration.service(req.service)?.connectionLimit ?? 0;
-    return Math.max(1, Math.floor(limit / members.aliveCount(nowMs)));
+    const share = Math.floor(limit / members.aliveCount(nowMs));
+    return {
+      maxConnections: Math.max(1, share),
+      // A reused connection may break just then, or carry an answer to an
+      // earlier request, which would leave unknown whether the request ran.
+      newConnection: !mayRunAgain(req, configuration.routes()),
+    };
   }
 
   return {start, announceWork};
--- a/packages/core/src/forwarding/forwarding.test.ts
+++ b/packages/core/src/forwarding/forwarding.test.ts
@@ -3,6 +3,7 @@
 import {
   attemptFailed,
   callArrived,
+  configurationRead,
   kinds,
   piece,
   readyGateway,
@@ -60,6 +61,35 @@
   });
 }
 
+// Guards against a second run of a request whose route was declared to run its
+// requests once while it was open.
+for (const [what, before, after, end] of [
+  [
+    'call that may no longer be repeated',
+    callRoute({kind: 'idempotent', maxAttempts: 2}),
+    callRoute({maxAttempts: 2}),
+    'refuse',
+  ],
+  [
+    'stream that may no longer be resumed',
+    streamRoute(),
+    streamRoute({resumable: false}),
+    'break_stream',
+  ],
+] as const) {
+  test(`a ${what} is not sent again`, () => {
+    const known = {configuration: configuration({routes: [before]})};
+    const gateway = readyGateway(known);
+    gateway.step(requestArrived({path: `${before.prefix}1`}));
+    if (before.kind === 'stream') gateway.step(piece(1), 20);
+    const changed = configuration({version: 2, routes: [after]});
+    gateway.step(configurationRead(changed, 2));
+    const actions = gateway.step(attemptFailed('broken'), 20);
+    assert.equal(started(actions), undefined);
+    assert.equal(kinds(actions, end).length, 1);
+  });
+}
+
 test('a write that no endpoint has run is refused as not run', () => {
   const gateway = readyGateway();
   gateway.step(callArrived('/write/1'));
--- a/packages/core/src/forwarding/start_attempt_of.ts
+++ b/packages/core/src/forwarding/start_attempt_of.ts
@@ -1,4 +1,3 @@
-import {isRepeatable} from '../configuration/is_repeatable.js';
 import type {StartAttempt} from '../gateway/actions/start_attempt.js';
 import type {EndpointChoice} from '../spread/endpoint_choice.js';
 import type {ForwardedRequest} from './forwarded_request.js';
@@ -13,7 +12,7 @@
   req: ForwardedRequest,
   choice: EndpointChoice,
   ticket: string,
-  maxConnections: number,
+  connection: Pick<StartAttempt, 'maxConnections' | 'newConnection'>,
   nowMs: number,
 ): StartAttempt {
   const {route, customer} = req;
@@ -24,7 +23,7 @@
     attempt: req.attempts,
     endpoint: choice.main.id,
     address: choice.main.address,
-    maxConnections,
+    ...connection,
     streamed: route.kind === 'stream',
     customer: customer?.name ?? '',
     remainingMs: Math.max(1, Math.floor(req.deadlineMs - nowMs)),
@@ -32,8 +31,5 @@
     priority: Math.min(LOWEST_PRIORITY, priority),
     helpers: choice.helpers.map(({address}) => ({address, ticket})),
     resumeAfter: req.lastPiece,
-    // A reused connection may break just then, or carry an answer to an earlier
-    // request, which would leave unknown whether the request ran.
-    newConnection: !isRepeatable(route),
   };
 }
