Let wl-router take an answer only if it names its attempt

Cause: the check of answers compared wl-request-id only, which all attempts of a request share, and took answers that name no request.

Change: endpoints repeat wl-request-id and wl-attempt in every answer, and the router takes no other. The requests already carried both. An attempt with any other answer counts as broken, so a call that may run once ends as unknown instead of running twice.

--- a/packages/router/src/endpoint/attempt_runner.ts
+++ b/packages/router/src/endpoint/attempt_runner.ts
@@ -70,7 +70,7 @@
       signal: abort.signal,
     })
       .then(res => {
-        if (isResponseTo(res, action.reqId)) return codec.read(res, sink);
+        if (isResponseTo(res, action)) return codec.read(res, sink);
         abort.abort();
         return sink.failed('broken', false);
       })
@@ -105,10 +105,18 @@
   };
 }
 
-// An endpoint that echoes another request's id has mixed up its responses.
-function isResponseTo(res: EndpointResponse, reqId: string): boolean {
-  const echoed = res.headers['wl-request-id'];
-  return echoed === undefined || echoed === reqId;
+/**
+ * Whether a response names its attempt. Connections are reused, so any other
+ * may be a copy of an earlier response, also of one to the same request.
+ */
+function isResponseTo(
+  {headers}: EndpointResponse,
+  {reqId, attempt}: StartAttempt,
+): boolean {
+  return (
+    headers['wl-request-id'] === reqId &&
+    headers['wl-attempt'] === String(attempt)
+  );
 }
 
 function attemptKey(action: {reqId: string; attempt: number}): string {
--- a/packages/standins/src/engine/actions/begin_stream.ts
+++ b/packages/standins/src/engine/actions/begin_stream.ts
@@ -2,7 +2,7 @@
 export interface BeginStream {
   kind: 'begin_stream';
   callId: string;
-  /** Sent as `wl-request-id`, so that the client can detect a mix-up. */
+  /** Sent as `wl-request-id` also on a crossed answer, which shows the mix-up. */
   reqId: string;
   sessionId: string;
 }
--- a/packages/standins/src/engine/http/engine_routes.ts
+++ b/packages/standins/src/engine/http/engine_routes.ts
@@ -3,6 +3,7 @@
 import {query} from '@wisterialadder/runtime/http/query.js';
 import {sendJson} from '@wisterialadder/runtime/http/send_json.js';
 import type {CallTable} from '../../shared/call_table.js';
+import {nameRequest} from '../../shared/name_request.js';
 import {postRoute} from '../../shared/post_route.js';
 import type {EngineNode} from '../engine_node.js';
 import type {EngineEvent} from '../events/engine_event.js';
@@ -28,6 +29,7 @@
       method: 'POST',
       path: /^\/v1\/chat\/completions$/,
       handler: async (req, res) => {
+        nameRequest(req, res);
         const chat = await readChatRequest(req);
         if (!chat.ok) {
           sendJson(res, 400, {error: {code: 'bad_request', message: chat.val}});
--- a/packages/standins/src/service/service_routes.ts
+++ b/packages/standins/src/service/service_routes.ts
@@ -5,6 +5,7 @@
 import {sendJson} from '@wisterialadder/runtime/http/send_json.js';
 import type {CallTable} from '../shared/call_table.js';
 import {header} from '../shared/header.js';
+import {nameRequest} from '../shared/name_request.js';
 import {postRoute} from '../shared/post_route.js';
 import type {ServiceEvent} from './service_event.js';
 import type {ServiceNode} from './service_node.js';
@@ -31,6 +32,7 @@
       method: 'POST',
       path: /^\/call\/(?<action>[^/]+)$/,
       handler: async (req, res, {action = ''}) => {
+        nameRequest(req, res);
         const body = await readBody(req, MAX_BODY_BYTES);
         if (!body.ok) {
           sendJson(res, 400, {error: {code: 'bad_request'}});
