--- a/packages/gateway/src/mocks/fake_endpoint_codec.ts
+++ b/packages/gateway/src/mocks/fake_endpoint_codec.ts
@@ -1,14 +1,17 @@
 import type {StartAttempt} from '@wisterialadder/core/gateway/actions/start_attempt.js';
+import type {CallerHead} from '../callers/caller_head.js';
 import {EndpointCodec} from '../endpoints/endpoint_codec.js';
 import type {ParsedAnswer} from '../endpoints/parsed_answer.js';
 
 /**
- * A codec for tests: answers echo `req-id`; `not-run` refuses the attempt;
+ * A codec for tests: answers echo `req-id`, the caller's header or else the
+ * request's id, and `run-id` is always the latter; `not-run` refuses the attempt;
  * `leaving` and `pause-ms` are hints.
  */
 export class FakeEndpointCodec extends EndpointCodec {
-  override headers(action: StartAttempt): string[] {
-    return ['req-id', action.reqId];
+  override headers(action: StartAttempt, {headers}: CallerHead): string[] {
+    const callerId = String(headers['req-id'] ?? action.reqId);
+    return ['req-id', callerId, 'run-id', action.reqId];
   }
 
   override read(
