Wait for the bytes of stopped bodies, and end programs that start too late

"the largest stopped body makes room for another one" waited until the budget held both bodies; memory counts by the block, before the bytes are there, and heads count as well. A body whose last bytes came later was not stopped, the smaller one was given up in its place, and the test waited for its answer for good. In the same run a gateway of the large fleet did not start within 15 s, and its process stayed and kept the runner waiting.

Change: the test waits for the received bytes of both bodies, and checks that the budget holds them. A program that does not start in time is ended.

--- a/packages/runtime/src/http/body_reader.test.ts
+++ b/packages/runtime/src/http/body_reader.test.ts
@@ -44,14 +44,16 @@
 });
 
 test('the largest stopped body makes room for another one', async t => {
-  const {connect, budget} = await startBodyServer(t, {
+  const {connect, budget, receivedBytes} = await startBodyServer(t, {
     maxBytes: 200_000,
     budgetBytes: 300_000,
   });
   const [large, small] = [await connect(), await connect()];
   large.socket.write(CHUNKED + chunk(150_000));
   small.socket.write(CHUNKED + chunk(10_000));
-  while (budget.heldBytes() < 160_000) await sleep(5);
+  // The memory counts before the bytes: a body that still arrives has not stopped.
+  while (receivedBytes() < 160_000) await sleep(5);
+  assert.ok(budget.heldBytes() >= 160_000);
   budget.nextInterval(0);
   budget.nextInterval(0);
   const {socket, text} = await connect();
--- a/packages/runtime/src/mocks/body_server.ts
+++ b/packages/runtime/src/mocks/body_server.ts
@@ -26,6 +26,8 @@
 export interface BodyServer {
   server: Server;
   budget: MemoryBudget;
+  /** Bytes of bodies that were read so far. */
+  receivedBytes(): number;
   connect(): Promise<BodyCaller>;
 }
 
@@ -43,10 +45,14 @@
   limits: BodyServerLimits = {},
 ): Promise<BodyServer> {
   const budget = createMemoryBudget(limits.budgetBytes ?? 1_000_000);
+  let receivedBytes = 0;
   const bodies = createBodyReader({
     budget,
     rate: () => limits.rate ?? {minBytesPerS: 0, windowMs: 1_000},
-    onReceived: (req, bytes) => feeds.bodyReceived(req, bytes),
+    onReceived: (req, bytes) => {
+      receivedBytes += bytes;
+      feeds.bodyReceived(req, bytes);
+    },
     onDropped: () => undefined,
   });
   const server = createServer((req, res) => {
@@ -70,7 +76,12 @@
     server.closeAllConnections();
     server.close();
   });
-  return {server, budget, connect: () => connectTo(port)};
+  return {
+    server,
+    budget,
+    receivedBytes: () => receivedBytes,
+    connect: () => connectTo(port),
+  };
 }
 
 async function connectTo(port: number): Promise<BodyCaller> {
--- a/scripts/fleet/process.mjs
+++ b/scripts/fleet/process.mjs
@@ -71,10 +71,11 @@
 
 function waitForStart(name, child, onLine) {
   return new Promise((resolve, reject) => {
-    const timer = setTimeout(
-      () => reject(new Error(`${name} did not start in time`)),
-      START_TIMEOUT_MS,
-    );
+    const timer = setTimeout(() => {
+      // A leftover process would keep the test runner waiting forever.
+      child.kill('SIGKILL');
+      reject(new Error(`${name} did not start in time`));
+    }, START_TIMEOUT_MS);
     const last = [];
     const keep = text => {
       last.push(String(text));
